--- a/crates/conf/src/fold.rs
+++ b/crates/conf/src/fold.rs
@@ -83,3 +83,27 @@
         Standing::Accepted
     }
 }
+
+/// Reads the `config` stream and tells what is in force.
+///
+/// Between two records a reader that has lagged behind what the log keeps may
+/// take a publication that lost for one that won; at the end of the stream it
+/// has seen the repeat that sets it right. So it is acted upon only there.
+#[derive(Debug, Clone, Default)]
+pub struct Reader {
+    draft: Config,
+}
+
+impl Reader {
+    /// Takes in a record, in the order of the log.
+    pub fn fold(&mut self, offset: u64, publication: &Publication) {
+        self.draft.fold(offset, publication);
+    }
+
+    /// What is in force, once the end of the stream has been reached; `None`
+    /// where `config`, which is acted upon so far, is as new.
+    pub fn end(&mut self, config: &Config) -> Option<Config> {
+        self.draft.adopt(config);
+        (self.draft.version > config.version).then(|| self.draft.clone())
+    }
+}
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -9,6 +9,6 @@
 pub use crate::{
     document::{Class, Document, JobKind, Rental, Service, Team},
     error::{Error, Fault},
-    fold::{Config, Publication, Standing},
+    fold::{Config, Publication, Reader, Standing},
     settings::{Platform, Settings, Timing},
 };
--- a/crates/conf/tests/document.rs
+++ b/crates/conf/tests/document.rs
@@ -1,7 +1,7 @@
 //! Documents with faults are refused, and versions in force only grow.
 
 use base::{Name, Size};
-use conf::{Config, Document, Publication, Standing};
+use conf::{Config, Document, Publication, Reader, Standing};
 
 const GOOD: &str = r#"{
   "domains": { "d1": "r1" },
@@ -101,3 +101,17 @@
     assert_eq!(fresh, whole);
     assert_eq!(fresh.version, 8);
 }
+
+/// Found by the model: a reader that had been cut from the log for longer than
+/// it keeps records took a publication that had lost for one that had won.
+#[test]
+fn a_reader_that_lagged_acts_only_at_the_end_of_the_stream() {
+    let mut whole = Config::default();
+    let (won, lost) = (publish("a", 0), publish("b", 0));
+    whole.fold(0, &won);
+    let mut lagging = Reader::default();
+    // Record 0 has expired unread.
+    lagging.fold(1, &lost);
+    lagging.fold(2, &Publication::Repeat(whole.clone()));
+    assert_eq!(lagging.end(&Config::default()), Some(whole));
+}
--- /dev/null
+++ b/crates/console/src/fleet.rs
@@ -0,0 +1,109 @@
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use http::Answer;
+use serde_json::Value;
+
+use crate::{
+    page::{escape, page, table},
+    upstream::Upstream,
+};
+
+/// Decisions shown.
+const MAX_DECISIONS: usize = 30;
+
+/// Pages of the fleet, as each entry VM tells it of itself.
+pub(crate) async fn show(upstream: &Upstream) -> Answer {
+    let statuses = upstream.status().await;
+    let body = [entries(&statuses), cells(&statuses), servers(&statuses), decisions(&statuses)];
+    page(200, "Fleet", &body.concat())
+}
+
+fn text(value: &Value) -> String {
+    match value {
+        Value::String(text) => escape(text),
+        Value::Null => "-".to_owned(),
+        other => escape(&other.to_string()),
+    }
+}
+
+fn rows(value: &Value) -> &[Value] {
+    value.as_array().map_or(&[], Vec::as_slice)
+}
+
+fn entries(statuses: &[(SocketAddr, Option<Value>)]) -> String {
+    let row = |(peer, status): &(SocketAddr, Option<Value>)| match status {
+        None => vec![peer.to_string(), "<b class=\"bad\">no answer</b>".into()],
+        Some(s) => vec![
+            text(&s["vm"]),
+            text(&s["domain"]),
+            text(&s["region"]),
+            text(&s["config_version"]),
+            if s["log_reachable"] == true {
+                "reachable".into()
+            } else {
+                "<b class=\"bad\">unreachable</b>".into()
+            },
+            text(&s["journal_waiting"]),
+        ],
+    };
+    let heads = ["entry VM", "domain", "region", "in force", "log", "waits for the log"];
+    table("Entry VMs", &heads, &statuses.iter().map(row).collect::<Vec<_>>())
+}
+
+/// Each cell as its primary tells it.
+fn own_cells(statuses: &[(SocketAddr, Option<Value>)]) -> BTreeMap<String, &Value> {
+    let all = statuses.iter().filter_map(|(_, s)| s.as_ref()).flat_map(|s| rows(&s["cells"]));
+    let owned = all.filter(|cell| cell["role"] == "primary");
+    owned.map(|cell| (text(&cell["cell"]), cell)).collect()
+}
+
+fn cells(statuses: &[(SocketAddr, Option<Value>)]) -> String {
+    let row = |(name, cell): (&String, &&Value)| {
+        vec![
+            name.clone(),
+            text(&cell["epoch"]),
+            text(&cell["primary"]),
+            text(&cell["backup"]),
+            if cell["deciding"] == true { "yes".into() } else { "<b class=\"bad\">no</b>".into() },
+            text(&cell["tasks"]),
+        ]
+    };
+    let cells = own_cells(statuses);
+    let heads = ["cell", "epoch", "primary", "backup", "decides", "tasks"];
+    table("Cells and queue", &heads, &cells.iter().map(row).collect::<Vec<_>>())
+}
+
+fn servers(statuses: &[(SocketAddr, Option<Value>)]) -> String {
+    let cells = own_cells(statuses);
+    let mut lines = Vec::new();
+    for (name, cell) in &cells {
+        for server in rows(&cell["servers"]) {
+            let size = |s: &Value| format!("{} m, {} MB, {}", s["cpu"], s["memory"], s["accel"]);
+            lines.push(vec![
+                text(&server["vm"]),
+                name.clone(),
+                text(&server["state"]),
+                size(&server["size"]),
+                size(&server["committed"]),
+                text(&server["slots_held"]),
+            ]);
+        }
+    }
+    let heads = ["backend server", "cell", "state", "size", "committed to tasks", "slots held"];
+    table("Backend servers", &heads, &lines)
+}
+
+fn decisions(statuses: &[(SocketAddr, Option<Value>)]) -> String {
+    let mut all: Vec<&Value> = statuses
+        .iter()
+        .filter_map(|(_, s)| s.as_ref())
+        .flat_map(|s| rows(&s["decisions"]))
+        .collect();
+    all.sort_by_key(|d| std::cmp::Reverse(d["at"].as_u64()));
+    let row = |d: &&Value| {
+        let fields = ["what", "task", "cell", "chosen", "candidates", "why"];
+        fields.iter().map(|f| text(&d[*f])).collect()
+    };
+    let lines: Vec<Vec<String>> = all.iter().take(MAX_DECISIONS).map(row).collect();
+    table("Newest decisions", &["what", "task", "cell", "chosen", "candidates", "why"], &lines)
+}
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -46,8 +46,7 @@
 pub(crate) fn enforce(node: &Rc<Node>, config: Config) {
     {
         let mut state = node.state.borrow_mut();
-        let repeated = config.version == state.config.version && config == state.config;
-        if config.version < state.config.version || repeated {
+        if config.version <= state.config.version {
             return;
         }
         event!("config", version = config.version, offset = config.offset, id = config.id);
--- a/crates/entry/src/credit.rs
+++ b/crates/entry/src/credit.rs
@@ -74,7 +74,7 @@
     let held_near = held(&cells, Tier::Domain);
     let held_region = held(&cells, Tier::Region);
     let mut wants = Vec::new();
-    for (cell, (tier, holds)) in &cells {
+    for (cell, (tier, _)) in &cells {
         let Some(record) = state.registry.get(cell) else { continue };
         let here = match tier {
             Tier::Domain => want.div_ceil(near.max(1) as u32),
@@ -84,9 +84,14 @@
         // While the own domain still hands out slots, others are left alone.
         let needed = *tier == Tier::Domain || state.router.starved(time.mono);
         let here = if needed { here } else { 0 };
-        wants.push((cell.clone(), record.primary.clone(), holds.clone(), here));
+        wants.push((cell.clone(), *tier, record.primary.clone(), here));
     }
-    wants
+    let ask = |(cell, tier, primary, want): (Name, Tier, Peer, u32)| {
+        let unused = tier != Tier::Domain && want == 0;
+        let holds = state.router.holdings(&cell, unused);
+        (cell, primary, holds, want)
+    };
+    wants.into_iter().map(ask).collect()
 }
 
 fn held(cells: &BTreeMap<Name, (Tier, Vec<Holding>)>, tier: Tier) -> u32 {
@@ -172,10 +177,15 @@
     }
     if !blocked {
         let usable = cell.servers.values().filter(|s| takes(s)).count() as u32;
-        let fair = if own { usable * slots / live.len().max(1) as u32 } else { 0 };
-        let want = ask.want.max(fair);
-        hand_out(cell, &ask.router, want, slots, time);
-        if cell.table.credits.total(&ask.router) < ask.want {
+        let fair = usable * slots / live.len().max(1) as u32;
+        let others = live.iter().filter(|r| **r != ask.router);
+        let kept = others.map(|r| fair.saturating_sub(cell.table.credits.total(r))).sum();
+        match own {
+            true => hand_out(cell, &ask.router, ask.want.max(fair), slots, 0, time),
+            // Another domain's router gets what the own ones leave.
+            false => hand_out(cell, &ask.router, ask.want, slots, kept, time),
+        }
+        if own && cell.table.credits.total(&ask.router) < ask.want {
             state.starved.insert(ask.cell.clone(), time.mono);
         }
     }
@@ -191,14 +201,16 @@
     server.state == ServerState::Live && !server.says_leaving
 }
 
-/// Grants slots one by one, of the server with the most free ones.
-fn hand_out(cell: &mut Cell, router: &Peer, want: u32, slots: u32, time: Now) {
+/// Grants slots one by one, of the server with the most free ones, until only
+/// `kept` are free.
+fn hand_out(cell: &mut Cell, router: &Peer, want: u32, slots: u32, kept: u32, time: Now) {
     let mut free: BTreeMap<Name, u32> = BTreeMap::new();
     for server in cell.servers.values().filter(|s| takes(s)) {
         let left = slots.saturating_sub(cell.table.credits.used(&server.id));
         free.insert(server.id.clone(), left);
     }
-    let mut more = want.saturating_sub(cell.table.credits.total(router));
+    let spare = free.values().sum::<u32>().saturating_sub(kept);
+    let mut more = want.saturating_sub(cell.table.credits.total(router)).min(spare);
     let mut given: BTreeMap<Name, u32> = BTreeMap::new();
     while more > 0 {
         let open = free.iter_mut().filter(|(_, left)| **left > 0);
@@ -233,16 +245,17 @@
 
 fn summary(state: &mut State, ask: &CreditAsk, time: Now) -> CreditAnswer {
     let slots = slots(state);
-    let live = state.members.live(&ask.cell, time).len().max(1) as u32;
+    let live = state.members.live(&ask.cell, time);
+    let own = live.contains(&ask.router);
     let starved = state.starved.get(&ask.cell).is_some_and(|at| time.mono < at + STARVED);
     let Some(cell) = state.cells.get(&ask.cell) else { return CreditAnswer::default() };
     let usable = cell.servers.values().filter(|s| takes(s)).count() as u32;
-    let fair = usable * slots / live;
+    let fair = if own { usable * slots / live.len().max(1) as u32 } else { 0 };
     let held = cell.table.credits.total(&ask.router);
     let leaving = cell.servers.values().filter(|s| !takes(s)).map(|s| s.id.clone());
     CreditAnswer {
         grants: cell.table.credits.backends(&ask.router),
-        recall: if starved { held.saturating_sub(fair.max(1)) } else { 0 },
+        recall: if starved { held.saturating_sub(fair) } else { 0 },
         leaving: leaving.collect(),
         excess: cell.servers.keys().map(|id| (id.clone(), excess(state, cell, id))).collect(),
     }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -79,6 +79,8 @@
     pub(crate) log_heard: Option<Millis>,
     /// Streams read to their end once.
     pub(crate) caught_up: bool,
+    /// Records have changed that have not been acted upon.
+    pub(crate) unread: bool,
     /// Claims being appended, by cell.
     pub(crate) claims: BTreeSet<Name>,
     /// Peers to which a sync is under way.
@@ -120,6 +122,7 @@
             decisions: VecDeque::new(),
             log_heard: None,
             caught_up: false,
+            unread: false,
             claims: BTreeSet::new(),
             syncing: BTreeSet::new(),
             teams: BTreeMap::new(),
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -3,14 +3,14 @@
 use async_std::task::{JoinHandle, sleep, spawn_local};
 use base::{Name, event, now};
 use cell::{Cell, Claim, JournalBatch, JournalReader, JournalRecord, Record, ServerState};
-use conf::Publication;
+use conf::{Publication, Reader};
 use plat::{Batch, Kind, VmState};
 use serde::{Serialize, de::DeserializeOwned};
 use serde_json::Value;
 
 use crate::{
     control,
-    node::{KEY_SHARDS, Node},
+    node::{KEY_SHARDS, Node, State},
 };
 
 /// Streams of the log.
@@ -31,9 +31,10 @@
     let node = Rc::clone(node);
     spawn_local(async move {
         let (mut claims, mut config) = (0, 0);
+        let mut reader = Reader::default();
         loop {
             let read = read_claims(&node, &mut claims).await;
-            let read = read && read_config(&node, &mut config).await;
+            let read = read && read_config(&node, &mut config, &mut reader).await;
             if read {
                 let mut state = node.state.borrow_mut();
                 state.log_heard = Some(now().mono);
@@ -71,23 +72,36 @@
     }
 }
 
+/// Reads the claims to their end; only there are they acted upon, since a
+/// process that has lagged may take a lost claim for a won one before.
 async fn read_claims(node: &Rc<Node>, next: &mut u64) -> bool {
     let mut claims = Vec::new();
     let read = read_stream(node, CLAIMS, next, |_, data| claims.extend(parse::<Claim>(data))).await;
-    for claim in claims {
-        on_claim(node, &claim);
+    let records = {
+        let mut state = node.state.borrow_mut();
+        for claim in &claims {
+            state.unread |= state.registry.fold(claim);
+        }
+        if !read || !std::mem::take(&mut state.unread) {
+            return read;
+        }
+        changed(node, &state)
+    };
+    for record in records {
+        on_record(node, &record);
     }
     read
 }
 
-fn on_claim(node: &Rc<Node>, claim: &Claim) {
-    let record = match claim {
-        Claim::Claim(record) | Claim::Refresh(record) => record.clone(),
-    };
-    let mut state = node.state.borrow_mut();
-    if !state.registry.fold(claim) {
-        return;
-    }
+/// Records of the own failure domain that its cells have not taken in.
+fn changed(node: &Node, state: &State) -> Vec<Record> {
+    let own = |r: &&Record| r.cell.split('.').next() == Some(&*node.settings.domain);
+    let new =
+        |r: &&Record| state.cells.get(&r.cell).is_none_or(|cell| cell.record.as_ref() != Some(*r));
+    state.registry.iter().filter(own).filter(new).cloned().collect()
+}
+
+fn on_record(node: &Rc<Node>, record: &Record) {
     event!(
         "owner",
         cell = record.cell,
@@ -95,34 +109,31 @@
         primary = record.primary,
         backup = record.backup.as_ref().map_or("none".to_owned(), ToString::to_string),
     );
-    let own = record.cell.split('.').next() == Some(&*node.settings.domain);
-    if !own {
-        return;
-    }
+    let mut state = node.state.borrow_mut();
     let setup = node.setup();
     let id = record.cell.clone();
     state.cells.entry(id.clone()).or_insert_with(|| Cell::open(id.clone(), setup));
-    let actions = state.with_cell(&id, now(), |cell, world| cell.on_record(&record, world));
+    let actions = state.with_cell(&id, now(), |cell, world| cell.on_record(record, world));
     state.dirty.insert(id.clone());
     drop(state);
     control::perform(node, &id, actions.unwrap_or_default());
 }
 
-async fn read_config(node: &Rc<Node>, next: &mut u64) -> bool {
-    let mut records = Vec::new();
+async fn read_config(node: &Rc<Node>, next: &mut u64, reader: &mut Reader) -> bool {
     let read = read_stream(node, CONFIG, next, |offset, data| {
-        records.extend(parse::<Publication>(data).map(|p| (offset, p)));
+        if let Some(publication) = parse::<Publication>(data) {
+            reader.fold(offset, &publication);
+        }
     })
     .await;
-    if records.is_empty() {
-        return read;
+    if !read {
+        return false;
     }
-    let mut config = node.state.borrow().config.clone();
-    for (offset, publication) in &records {
-        config.fold(*offset, publication);
+    let newer = reader.end(&node.state.borrow().config);
+    if let Some(config) = newer {
+        crate::config::enforce(node, config);
     }
-    crate::config::enforce(node, config);
-    read
+    true
 }
 
 fn parse<T: DeserializeOwned>(data: Value) -> Option<T> {
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -9,7 +9,7 @@
     task::{sleep, spawn_local},
 };
 use base::{Millis, Name, event, now};
-use cell::{CreditAnswer, CreditAsk, Outcome};
+use cell::{CreditAnswer, CreditAsk, Holding, Outcome};
 use futures::channel::oneshot;
 use http::Call;
 use http_types::Method;
@@ -138,6 +138,21 @@
         self.wake_all();
     }
 
+    /// Slots held of a cell. Where they are of no use any more, the idle ones
+    /// are given up first.
+    pub(crate) fn holdings(&mut self, cell: &Name, unused: bool) -> Vec<Holding> {
+        let mut holds = Vec::new();
+        for (id, target) in self.targets.table.iter_mut().filter(|(_, t)| t.cell == *cell) {
+            if unused {
+                target.slots = target.inflight;
+            }
+            if target.slots > 0 {
+                holds.push(Holding { backend: id.clone(), slots: target.slots });
+            }
+        }
+        holds
+    }
+
     fn give_back(&mut self, cell: &Name, mut recall: u32) {
         for target in self.targets.table.values_mut().filter(|t| t.cell == *cell) {
             let idle = target.slots.saturating_sub(target.inflight).min(recall);
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -256,13 +256,13 @@
         """Entry VMs that have a running process."""
         alive = lambda vm: vm["id"] in self.procs and self.procs[vm["id"]].poll() is None
         return [
-            vm["id"] for vm in self.vms_by_id.values()
+            vm["id"] for vm in list(self.vms_by_id.values())
             if vm["kind"] == "entry" and alive(vm) and domain in (None, vm["domain"])
         ]
 
     def backends(self, domain=None):
         return [
-            vm["id"] for vm in self.vms_by_id.values()
+            vm["id"] for vm in list(self.vms_by_id.values())
             if vm["kind"] == "backend" and domain in (None, vm["domain"])
         ]
 
