Mend what the failures of real processes showed

Cause, each from a failed case of scripts/faults: - lost_and_crossed_answers: a request whose first copy was in doubt and whose second found no slot was said not to have run. Doubt about any copy now stays. - rolling_replacement: a keyed request under way at a primary that resigned had its outcome settled as unknown by the successor. A process that shuts down enters no more keys and lets those under way end before it resigns. A fresh entry VM said it was healthy before it held a slot; now it says so after. - kill_both: new VMs had never seen the dead ones in the VM list, so nothing proved them dead for two minutes. What a process has seen vanish from the list goes round with the heartbeats. - kill_owner: only the harness, which read a table while it grew.

--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -58,12 +58,17 @@
     id.replace("%23", "#")
 }
 
-/// The balancer takes a VM out while it is shutting down.
+/// The balancer takes a VM out while it is shutting down, and puts it in once
+/// it has a configuration and slots.
 fn health(node: &Node) -> Answer {
-    match node.state.borrow().shutting {
-        true => Answer::fault(503, "shutting down"),
-        false => Answer::new(200, "text/plain", "ok\n"),
+    let state = node.state.borrow();
+    if state.shutting {
+        return Answer::fault(503, "shutting down");
     }
+    if state.config.version == 0 || !state.router.targets.any() {
+        return Answer::fault(503, "not ready: no configuration or no slots yet");
+    }
+    Answer::new(200, "text/plain", "ok\n")
 }
 
 async fn serve_request(node: &Rc<Node>, service: &str, ask: &Ask) -> Answer {
--- a/crates/entry/src/beat.rs
+++ b/crates/entry/src/beat.rs
@@ -52,6 +52,7 @@
     let config = {
         let mut state = node.state.borrow_mut();
         state.members.on_beat(&reply.from, reply.leaving, now());
+        state.members.learn_gone(&reply.gone);
         state.versions.insert(vm, (reply.version, now().unix));
         (state.caught_up && reply.version < state.config.version).then(|| state.config.clone())
     };
@@ -68,6 +69,7 @@
         version: state.config.version,
         teams: control::own_teams(&state, None),
         leaving: state.shutting,
+        gone: state.members.gone().cloned().collect(),
     }
 }
 
@@ -78,8 +80,10 @@
     }
     let mut state = node.state.borrow_mut();
     state.members.on_beat(&beat.from, beat.leaving, now());
+    state.members.learn_gone(&beat.gone);
     state.versions.insert(beat.from.vm.clone(), (beat.version, now().unix));
     state.teams.insert(beat.from.vm, beat.teams);
     let version = if state.caught_up { state.config.version } else { 0 };
-    Some(BeatReply { from: node.me.clone(), version, leaving: state.shutting })
+    let gone = state.members.gone().cloned().collect();
+    Some(BeatReply { from: node.me.clone(), version, leaving: state.shutting, gone })
 }
--- a/crates/entry/src/keys.rs
+++ b/crates/entry/src/keys.rs
@@ -81,6 +81,7 @@
             if !replicated(node, &enter.cell, index, until).await {
                 // The entry may or may not survive; nothing was sent, but the
                 // key is taken.
+                node.state.borrow_mut().entered -= 1;
                 return EnterReply::Pending;
             }
             spawn_local(run(Rc::clone(node), enter.clone(), until));
@@ -106,6 +107,7 @@
 fn begin(node: &Node, enter: &Enter, digest: u64) -> Begun {
     let mut state = node.state.borrow_mut();
     let time = now();
+    let closing = state.closing;
     let Some(cell) = state.cells.get_mut(&enter.cell) else { return Begun::Elsewhere };
     if cell.role != Role::Primary || !cell.is_ready() {
         return Begun::Elsewhere;
@@ -113,11 +115,13 @@
     if let Some(entry) = cell.table.keys.get(&enter.key) {
         return if entry.digest == digest { Begun::Known } else { Begun::Conflict };
     }
-    if !cell.deciding(time.mono) {
+    if closing || !cell.deciding(time.mono) {
         return Begun::Elsewhere;
     }
     cell.commit(Op::Enter { key: enter.key.clone(), digest, at: time.unix }, time);
-    Begun::Entered(cell.index())
+    let index = cell.index();
+    state.entered += 1;
+    Begun::Entered(index)
 }
 
 /// Waits until the backup has the change; whether it does.
@@ -158,6 +162,7 @@
     };
     {
         let mut state = node.state.borrow_mut();
+        state.entered -= 1;
         let Some(cell) = state.cells.get_mut(&enter.cell) else { return };
         if cell.role == Role::Primary {
             cell.commit(Op::Settle { key: enter.key.clone(), outcome }, now());
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -96,6 +96,10 @@
     /// Versions of the configuration in force elsewhere.
     pub(crate) versions: BTreeMap<Name, (u64, Millis)>,
     pub(crate) shutting: bool,
+    /// Shards are being handed over: no request is entered here any more.
+    pub(crate) closing: bool,
+    /// Requests entered here whose outcome is open.
+    pub(crate) entered: u32,
     pub(crate) inflight: u32,
     pub(crate) started: Now,
     pub(crate) rng: StdRng,
@@ -131,6 +135,8 @@
             unheard: BTreeMap::new(),
             versions: BTreeMap::new(),
             shutting: false,
+            closing: false,
+            entered: 0,
             inflight: 0,
             started,
             rng: StdRng::seed_from_u64(started.unix),
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -10,7 +10,10 @@
 };
 use base::{Millis, Name, event, now};
 use cell::{CreditAnswer, CreditAsk, Holding, Outcome};
-use futures::channel::oneshot;
+use futures::{
+    channel::oneshot,
+    future::{Either, select},
+};
 use http::Call;
 use http_types::Method;
 use plat::{Vm, VmState};
@@ -212,10 +215,10 @@
 
 async fn attempts(node: &Rc<Node>, request: &Request) -> Outcome {
     let mut tried: Vec<Name> = Vec::new();
+    // An earlier copy may have run, whatever became of the later ones.
+    let mut doubt = false;
     for attempt in 0..MAX_ATTEMPTS {
-        let Some(pick) = acquire(node, request, &tried).await else {
-            return Outcome::NotRun;
-        };
+        let Some(pick) = acquire(node, request, &tried).await else { break };
         tried.push(pick.backend.clone());
         let tried_one = match request.idempotent && node.mode.features.hedge {
             true => hedged(node, request, pick, attempt, &mut tried).await,
@@ -224,17 +227,14 @@
         match tried_one {
             Tried::Whole { status, body } => return Outcome::Answer { status, body },
             Tried::Doubt if !request.idempotent => return Outcome::Unknown,
-            Tried::NotRun | Tried::Doubt => {}
+            Tried::Doubt => doubt = true,
+            Tried::NotRun => {}
         }
-        let more = now().mono < request.until && retry(node, attempt);
-        if !more {
-            return match tried_one {
-                Tried::NotRun => Outcome::NotRun,
-                _ => Outcome::Unknown,
-            };
+        if now().mono >= request.until || !retry(node, attempt) {
+            break;
         }
     }
-    Outcome::NotRun
+    if doubt { Outcome::Unknown } else { Outcome::NotRun }
 }
 
 fn retry(node: &Node, attempt: usize) -> bool {
@@ -346,13 +346,18 @@
     tried.push(pick.backend.clone());
     let second = send(node, request, pick, attempt + 10);
     futures::pin_mut!(second);
-    match futures::future::select(first, second).await {
-        futures::future::Either::Left((Tried::Whole { status, body }, _))
-        | futures::future::Either::Right((Tried::Whole { status, body }, _)) => {
-            Tried::Whole { status, body }
+    let (done, other) = match select(first, second).await {
+        Either::Left((Tried::Whole { status, body }, _))
+        | Either::Right((Tried::Whole { status, body }, _)) => {
+            return Tried::Whole { status, body };
         }
-        futures::future::Either::Left((_, second)) => second.await,
-        futures::future::Either::Right((_, first)) => first.await,
+        Either::Left((done, second)) => (done, second.await),
+        Either::Right((done, first)) => (done, first.await),
+    };
+    match (done, other) {
+        (_, Tried::Whole { status, body }) => Tried::Whole { status, body },
+        (Tried::NotRun, Tried::NotRun) => Tried::NotRun,
+        _ => Tried::Doubt,
     }
 }
 
--- a/crates/entry/src/shutdown.rs
+++ b/crates/entry/src/shutdown.rs
@@ -32,6 +32,10 @@
 /// Resigns from each cell once its backup has everything.
 async fn hand_over(node: &Rc<Node>) {
     let deadline = now().mono + HAND_OVER;
+    node.state.borrow_mut().closing = true;
+    while node.state.borrow().entered > 0 && now().mono < deadline {
+        sleep(PAUSE / 10).await;
+    }
     loop {
         let left = {
             let mut state = node.state.borrow_mut();
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -71,6 +71,21 @@
         self.members.insert(peer.vm.clone(), member);
     }
 
+    /// VMs that have been seen in the list and then not any more.
+    pub fn gone(&self) -> impl Iterator<Item = &Name> {
+        self.gone.iter()
+    }
+
+    /// Takes in what another process has seen vanish from the list: this one
+    /// may have started too late to have seen it there.
+    pub fn learn_gone(&mut self, ids: &[Name]) {
+        for id in ids.iter().filter(|id| **id != self.me.vm) {
+            if !self.vms.contains_key(id) {
+                self.gone.insert(id.clone());
+            }
+        }
+    }
+
     /// Whether a process cannot be running any more: a newer one of the same
     /// VM has answered, or a VM list that must have it does not.
     pub fn dead(&self, peer: &Peer) -> bool {
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -20,6 +20,8 @@
     pub teams: BTreeMap<Name, Size>,
     /// Whether the sender is shutting down.
     pub leaving: bool,
+    /// VMs that the sender has seen vanish from the VM list.
+    pub gone: Vec<Name>,
 }
 
 /// Answer to a heartbeat.
@@ -31,6 +33,8 @@
     pub version: u64,
     /// Whether it is shutting down.
     pub leaving: bool,
+    /// VMs that it has seen vanish from the VM list.
+    pub gone: Vec<Name>,
 }
 
 /// Answer to a request for slots.
--- a/scripts/judge.py
+++ b/scripts/judge.py
@@ -28,7 +28,8 @@
         self.cut = []
         self.last_answer = time.monotonic()
         self.longest_gap = 0.0
-        self.leaving = set()
+        self.healthy = []
+        threading.Thread(target=self.check_health, daemon=True).start()
         self.threads = [
             threading.Thread(target=self.caller, args=(i, random.Random(seed * 100 + i)), daemon=True)
             for i in range(threads)
@@ -37,10 +38,23 @@
             t.start()
 
     def entry(self, rng):
-        """What the balancer would choose: a VM that does not shut down."""
-        choice = [e for e in self.fleet.entries(self.domain) if e not in self.leaving]
+        """What the balancer would choose: a VM whose last health check passed."""
+        choice = self.healthy
         return rng.choice(choice) if choice else None
 
+    def check_health(self):
+        """The balancer: a check every 300 ms, and half a second without an answer
+        takes a VM out."""
+        while self.running:
+            self.healthy = [e for e in self.fleet.entries(self.domain) if self.is_healthy(e)]
+            time.sleep(0.3)
+
+    def is_healthy(self, entry):
+        try:
+            return call(self.fleet.http(entry), "GET", "/healthz", timeout=0.5)[0] == 200
+        except (OSError, KeyError):
+            return False
+
     def caller(self, number, rng):
         n = 0
         while self.running:
@@ -56,7 +70,10 @@
             time.sleep(self.pause)
 
     def exchange(self, entry, headers, text):
-        host, port = self.fleet.http(entry).rsplit(":", 1)
+        vm = self.fleet.vms_by_id.get(entry)
+        if vm is None:
+            raise OSError("the VM is gone")
+        host, port = vm["http"].rsplit(":", 1)
         conn = http.client.HTTPConnection(host, int(port), timeout=6)
         try:
             conn.request("POST", f"/v1/serve/{self.service}", text.encode(), headers)
@@ -77,6 +94,7 @@
     def one(self, rng, text):
         entry = self.entry(rng)
         if entry is None:
+            time.sleep(0.1)
             return
         idempotent = rng.random() < 0.5
         headers = {"x-idempotent": "1"} if idempotent else {}
