A slot whose request got no answer is held until its server has answered since

Cause: cut_workers failed: leinster-1-b1 got more requests than it has slots, four times. Requests that had timed out sat in the network for 20 s and were delivered together when the cut healed, after their slots had been given to others.

Ruled out: a longer fixed wait (a cut has no bound); a deadline in the request (nothing of ours runs on the server to check it).

The slot is freed only after the server has answered a probe sent later, plus the time in which it ends what it has received.

--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -34,9 +34,10 @@
 const HEDGE_FACTOR: f64 = 3.0;
 /// Least time after which a second copy is sent, in milliseconds.
 const HEDGE_FLOOR: f64 = 30.0;
-/// Time for which a slot is kept after its answer was lost: the request may
-/// still be running.
+/// Time within which a server ends what it has received.
 const LINGER: Duration = Duration::from_millis(1000);
+/// Time within which a server must answer a probe.
+const PROBE_LIMIT: Duration = Duration::from_millis(800);
 
 /// What a request asks for.
 #[derive(Debug, Clone)]
@@ -96,8 +97,8 @@
     /// Brings the targets up to date with the VM list.
     pub(crate) fn on_list(&mut self, vms: &[Vm], domain: &Name, region: &Name) {
         let table = &mut self.targets.table;
-        // A server that has left the list may still answer what it runs.
-        table.retain(|id, target| target.inflight > 0 || vms.iter().any(|vm| vm.id == *id));
+        // A server that has left the list is gone, and what it ran with it.
+        table.retain(|id, _| vms.iter().any(|vm| vm.id == *id));
         for vm in vms {
             let tier = match (vm.domain == *domain, vm.region == *region) {
                 (true, _) => Tier::Domain,
@@ -377,7 +378,7 @@
         let doubt = matches!(tried, Tried::Doubt);
         let _ = done.send(tried);
         if doubt {
-            sleep(LINGER).await;
+            drain(&node, &pick).await;
         }
         let mut state = node.state.borrow_mut();
         state.router.targets.release(&pick.backend);
@@ -389,6 +390,20 @@
     }
 }
 
+/// Waits until a request whose answer was lost cannot be running any more. It
+/// may sit in the network for as long as the server is cut off, so the server
+/// must have answered something sent later.
+async fn drain(node: &Rc<Node>, pick: &Pick) {
+    loop {
+        sleep(LINGER).await;
+        let listed = node.state.borrow().router.targets.table.contains_key(&pick.backend);
+        if !listed || node.backend(pick.http, PROBE_LIMIT).list().await.is_ok() {
+            break;
+        }
+    }
+    sleep(LINGER).await;
+}
+
 fn header(call: &Call, name: &str) -> String {
     let value = call.headers.iter().find(|(n, _)| *n == name);
     value.map(|(_, v)| v.clone()).unwrap_or_default()
--- a/crates/sched/src/learn.rs
+++ b/crates/sched/src/learn.rs
@@ -45,7 +45,8 @@
 pub struct Learn {
     runtimes: BTreeMap<Name, Sample>,
     cpus: BTreeMap<Name, Sample>,
-    pairs: BTreeMap<(Name, Name), f64>,
+    /// By the kind that is slowed, then by the kind that slows it.
+    pairs: BTreeMap<Name, BTreeMap<Name, f64>>,
     idle: Option<f64>,
 }
 
@@ -78,8 +79,9 @@
         let known: f64 = beside.iter().map(|by| self.excess(slowed, by)).sum();
         let error = (factor - 1.0).max(0.0) - known;
         let share = error * PAIR_WEIGHT / beside.len().max(1) as f64;
+        let pairs = self.pairs.entry(slowed.clone()).or_default();
         for by in beside {
-            let estimate = self.pairs.entry((slowed.clone(), by.clone())).or_default();
+            let estimate = pairs.entry(by.clone()).or_default();
             *estimate = (*estimate + share).max(0.0);
         }
     }
@@ -100,12 +102,12 @@
 
     /// Time added to `slowed` by one neighbour of kind `by`, as a fraction.
     pub fn excess(&self, slowed: &str, by: &str) -> f64 {
-        let key = (Name::from(slowed), Name::from(by));
-        self.pairs.get(&key).copied().unwrap_or(0.0)
+        self.pairs.get(slowed).and_then(|pairs| pairs.get(by)).copied().unwrap_or(0.0)
     }
 
     /// Lets estimates fade.
     pub fn fade(&mut self) {
-        self.pairs.values_mut().for_each(|excess| *excess *= 1.0 - PAIR_DECAY);
+        let pairs = self.pairs.values_mut().flat_map(BTreeMap::values_mut);
+        pairs.for_each(|excess| *excess *= 1.0 - PAIR_DECAY);
     }
 }
