Send only changes of the VM list and short rows of tasks; leave by schedule

Rows of tasks and usage are arrays.

A server that the document gives back kept getting requests until it was gone: being on the way out is decided in one place now (Server::leaving), for requests and tasks alike.

--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -23,6 +23,6 @@
     op::{Job, Op, Outcome, Sync, SyncReply, Verdict},
     reconcile::{Settled, reap, settle},
     record::{Claim, Peer, Record, Registry},
-    server::{Server, ServerState},
+    server::{RETURN_LEAD, Server, ServerState},
     table::{KeyEntry, Parking, Phase, Table, Task},
 };
--- a/crates/cell/src/server.rs
+++ b/crates/cell/src/server.rs
@@ -3,6 +3,9 @@
 use base::{Millis, Name, Size};
 use plat::LoadReport;
 
+/// Time before a VM goes back from which on it gets no new work.
+pub const RETURN_LEAD: Millis = 30_000;
+
 /// What is known of a backend server from the VM list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServerState {
@@ -69,8 +72,20 @@
         self.foreign = Size::ZERO;
     }
 
-    /// Whether new work may be sent there, as far as the server goes.
-    pub fn usable(&self) -> bool {
-        self.state == ServerState::Live && !self.says_leaving && self.listed.is_some()
+    /// Whether it is on its way out at `now`, in Unix milliseconds: by the VM
+    /// list, by its own word, or because it goes back soon.
+    pub fn leaving(&self, now: Millis) -> bool {
+        let soon = self.until.is_some_and(|until| now + RETURN_LEAD >= until);
+        self.state == ServerState::Leaving || self.says_leaving || soon
+    }
+
+    /// Whether requests may be sent there at `now`, in Unix milliseconds.
+    pub fn serves(&self, now: Millis) -> bool {
+        self.state == ServerState::Live && !self.leaving(now)
+    }
+
+    /// Whether tasks may be started there at `now`, in Unix milliseconds.
+    pub fn usable(&self, now: Millis) -> bool {
+        self.serves(now) && self.listed.is_some()
     }
 }
--- a/crates/cell/tests/sim/vm.rs
+++ b/crates/cell/tests/sim/vm.rs
@@ -127,7 +127,7 @@
         for task in queued {
             let accepted = self.cell.table.jobs.get(&task.job).is_some_and(|(_, a)| *a);
             let size = self.cell.table.size(&task);
-            let backend = self.room(size);
+            let backend = self.room(size, self.now(time).unix);
             if let Some(backend) = backend.filter(|_| accepted) {
                 let attempt = task.attempt + 1;
                 self.cell.commit(Op::Assign { task: task.id, attempt, backend }, self.now(time));
@@ -135,10 +135,10 @@
         }
     }
 
-    fn room(&self, size: Size) -> Option<Name> {
+    fn room(&self, size: Size, now: Millis) -> Option<Name> {
         let fits = |server: &&Server| {
             let held = self.cell.table.committed(&server.id).plus(server.foreign);
-            server.usable() && held.plus(size).fits(server.size)
+            server.usable(now) && held.plus(size).fits(server.size)
         };
         self.cell.servers.values().find(fits).map(|s| s.id.clone())
     }
--- a/crates/cli/src/cmd/load.rs
+++ b/crates/cli/src/cmd/load.rs
@@ -22,6 +22,9 @@
     seconds: u64,
     /// Requests carry idempotency keys and run at most once
     keyed: bool,
+    /// Latency target in milliseconds
+    #[bpaf(argument("MS"), fallback(100))]
+    target: u64,
     /// Seed
     #[bpaf(argument("N"), fallback(1))]
     seed: u64,
@@ -36,6 +39,7 @@
             seconds: self.seconds,
             keyed: self.keyed,
             seed: self.seed,
+            target: self.target,
         };
         println!("seed {}", self.seed);
         let report = load::requests(&plan).await;
--- a/crates/entry/src/credit.rs
+++ b/crates/entry/src/credit.rs
@@ -2,7 +2,7 @@
 
 use async_std::task::{JoinHandle, sleep, spawn_local};
 use base::{Millis, Name, Now, now};
-use cell::{Cell, CreditAnswer, CreditAsk, Holding, Op, Peer, Role, ServerState};
+use cell::{Cell, CreditAnswer, CreditAsk, Holding, Op, Peer, Role};
 use route::Tier;
 use wire::{Method, msg::CreditReply};
 
@@ -176,7 +176,7 @@
         }
     }
     if !blocked {
-        let usable = cell.servers.values().filter(|s| takes(s)).count() as u32;
+        let usable = cell.servers.values().filter(|s| s.serves(time.unix)).count() as u32;
         let fair = usable * slots / live.len().max(1) as u32;
         let others = live.iter().filter(|r| **r != ask.router);
         let kept = others.map(|r| fair.saturating_sub(cell.table.credits.total(r))).sum();
@@ -197,15 +197,11 @@
     cell.commit(Op::Grant { backend, router, slots }, time);
 }
 
-fn takes(server: &cell::Server) -> bool {
-    server.state == ServerState::Live && !server.says_leaving
-}
-
 /// Grants slots one by one, of the server with the most free ones, until only
 /// `kept` are free.
 fn hand_out(cell: &mut Cell, router: &Peer, want: u32, slots: u32, kept: u32, time: Now) {
     let mut free: BTreeMap<Name, u32> = BTreeMap::new();
-    for server in cell.servers.values().filter(|s| takes(s)) {
+    for server in cell.servers.values().filter(|s| s.serves(time.unix)) {
         let left = slots.saturating_sub(cell.table.credits.used(&server.id));
         free.insert(server.id.clone(), left);
     }
@@ -249,10 +245,10 @@
     let own = live.contains(&ask.router);
     let starved = state.starved.get(&ask.cell).is_some_and(|at| time.mono < at + STARVED);
     let Some(cell) = state.cells.get(&ask.cell) else { return CreditAnswer::default() };
-    let usable = cell.servers.values().filter(|s| takes(s)).count() as u32;
+    let usable = cell.servers.values().filter(|s| s.serves(time.unix)).count() as u32;
     let fair = if own { usable * slots / live.len().max(1) as u32 } else { 0 };
     let held = cell.table.credits.total(&ask.router);
-    let leaving = cell.servers.values().filter(|s| !takes(s)).map(|s| s.id.clone());
+    let leaving = cell.servers.values().filter(|s| !s.serves(time.unix)).map(|s| s.id.clone());
     CreditAnswer {
         grants: cell.table.credits.backends(&ask.router),
         recall: if starved { held.saturating_sub(fair) } else { 0 },
--- a/crates/entry/src/report.rs
+++ b/crates/entry/src/report.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use base::{Millis, Name, Size, now};
+use base::{Millis, Name, Now, Size, now};
 use cell::{Cell, Phase, Role, ServerState};
 use plat::Kind;
 use serde::Serialize;
@@ -100,7 +100,7 @@
         journal_waiting: state.journal.len(),
         shutting_down: state.shutting,
         entries: entries(&state, time.mono),
-        cells: state.cells.values().map(|cell| cell_report(cell, time.mono)).collect(),
+        cells: state.cells.values().map(|cell| cell_report(cell, time)).collect(),
         targets: targets(&state),
         decisions: state.decisions.iter().rev().take(MAX_SHOWN).map(decision).collect(),
     }
@@ -119,7 +119,7 @@
     state.members.vms(Kind::Entry).map(entry).collect()
 }
 
-fn cell_report(cell: &Cell, time: Millis) -> CellReport {
+fn cell_report(cell: &Cell, time: Now) -> CellReport {
     let mut tasks = BTreeMap::new();
     for task in cell.table.tasks.values() {
         *tasks.entry(phase(&task.phase)).or_default() += 1;
@@ -128,7 +128,7 @@
     let server = |s: &cell::Server| ServerReport {
         vm: s.id.clone(),
         state: match s.state {
-            ServerState::Live if s.says_leaving => "leaving",
+            ServerState::Live if s.leaving(time.unix) => "leaving",
             ServerState::Live => "live",
             ServerState::Leaving => "leaving",
             ServerState::Gone => "gone",
@@ -151,7 +151,7 @@
             Role::Primary => "primary",
             Role::Resigned => "resigned",
         },
-        deciding: cell.deciding(time),
+        deciding: cell.deciding(time.mono),
         tasks,
         servers: cell.servers.values().map(server).collect(),
     }
@@ -260,7 +260,7 @@
         Phase::Queued if !accepted => "its job waits for the log".to_owned(),
         Phase::Queued => {
             let ahead = cell.table.tasks.values().filter(|t| t.phase == Phase::Queued).count();
-            let free = cell.servers.values().filter(|s| s.usable()).count();
+            let free = cell.servers.values().filter(|s| s.usable(now().unix)).count();
             format!("waits for room or quota: {ahead} tasks queued, {free} servers take work")
         }
         Phase::Parked(why) => why.to_string(),
--- a/crates/load/src/requests.rs
+++ b/crates/load/src/requests.rs
@@ -25,11 +25,15 @@
     pub keyed: bool,
     /// Seed of the arrival times.
     pub seed: u64,
+    /// Latency target in milliseconds.
+    pub target: Millis,
 }
 
 /// What came back.
 #[derive(Debug, Clone)]
 pub struct Report {
+    /// Latency target in milliseconds.
+    pub target: Millis,
     /// Latency of whole answers in microseconds.
     pub latency: Histogram<u64>,
     /// Requests that were said not to have run.
@@ -41,9 +45,16 @@
 }
 
 impl Report {
-    fn open() -> Report {
+    fn open(target: Millis) -> Report {
         let latency = Histogram::new_with_max(60_000_000, 3).unwrap_or_else(|_| unreachable!());
-        Report { latency, refused: 0, unknown: 0, wrong: 0 }
+        Report { target, latency, refused: 0, unknown: 0, wrong: 0 }
+    }
+
+    /// Share of all requests that were answered within the target.
+    pub fn within(&self) -> f64 {
+        let all = self.latency.len() + self.refused + self.unknown + self.wrong;
+        let good = self.latency.count_between(0, self.target * 1000);
+        good as f64 / all.max(1) as f64
     }
 
     /// A percentile in milliseconds.
@@ -56,11 +67,12 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "answers {} p50 {:.1} ms p99 {:.1} ms p99.9 {:.1} ms refused {} unknown {} wrong {}",
+            "answers {} p50 {:.1} ms p99 {:.1} ms p99.9 {:.1} ms within {:.3} refused {} unknown {} wrong {}",
             self.latency.len(),
             self.percentile(50.0),
             self.percentile(99.0),
             self.percentile(99.9),
+            self.within(),
             self.refused,
             self.unknown,
             self.wrong
@@ -71,7 +83,7 @@
 /// Sends requests at random times with a mean rate, whether or not earlier ones
 /// have been answered, and waits for all of them.
 pub async fn requests(plan: &Plan) -> Report {
-    let report = Rc::new(RefCell::new(Report::open()));
+    let report = Rc::new(RefCell::new(Report::open(plan.target)));
     let client = Client::open();
     let mut rng = StdRng::seed_from_u64(plan.seed);
     let started = now().mono;
--- a/crates/plat/src/backend.rs
+++ b/crates/plat/src/backend.rs
@@ -131,8 +131,10 @@
     Stopped,
 }
 
-/// One attempt that a backend server knows.
+/// One attempt that a backend server knows. As JSON it is an array of the fields
+/// in order, since listings make up most of what control sends to a server.
 #[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(from = "ReportRow", into = "ReportRow")]
 pub struct TaskReport {
     /// Task identifier.
     pub task: Name,
@@ -150,8 +152,25 @@
     pub lease: Millis,
 }
 
-/// Lagging usage of one task.
+type ReportRow = (Name, u32, RunState, Name, (u64, u64, u64), Millis, Millis);
+
+impl From<ReportRow> for TaskReport {
+    fn from((task, attempt, state, kind, size, checkpoint, lease): ReportRow) -> TaskReport {
+        let size = Size { cpu: size.0, memory: size.1, accel: size.2 };
+        TaskReport { task, attempt, state, kind, size, checkpoint, lease }
+    }
+}
+
+impl From<TaskReport> for ReportRow {
+    fn from(r: TaskReport) -> ReportRow {
+        let size = (r.size.cpu, r.size.memory, r.size.accel);
+        (r.task, r.attempt, r.state, r.kind, size, r.checkpoint, r.lease)
+    }
+}
+
+/// Lagging usage of one task, as JSON an array of the fields in order.
 #[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(from = "UsageRow", into = "UsageRow")]
 pub struct TaskUsage {
     /// Task identifier.
     pub task: Name,
@@ -163,6 +182,21 @@
     pub speed: u64,
 }
 
+type UsageRow = (Name, u32, (u64, u64, u64), u64);
+
+impl From<UsageRow> for TaskUsage {
+    fn from((task, attempt, used, speed): UsageRow) -> TaskUsage {
+        let used = Size { cpu: used.0, memory: used.1, accel: used.2 };
+        TaskUsage { task, attempt, used, speed }
+    }
+}
+
+impl From<TaskUsage> for UsageRow {
+    fn from(u: TaskUsage) -> UsageRow {
+        (u.task, u.attempt, (u.used.cpu, u.used.memory, u.used.accel), u.speed)
+    }
+}
+
 /// Lagging usage of a backend server.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct LoadReport {
--- a/crates/plat/src/client.rs
+++ b/crates/plat/src/client.rs
@@ -1,11 +1,11 @@
-use std::{net::SocketAddr, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
 use http::{Client, Result};
 use serde_json::Value;
 
 use crate::{
     Acknowledge, Append, Appended, Batch, Listing, Renew, RenewAnswer, Start, StartAnswer, Stop,
-    StopAnswer, Throttle, VmList,
+    StopAnswer, Throttle, VmList, VmUpdate,
 };
 
 /// Records asked for in one read of the log.
@@ -47,18 +47,20 @@
     }
 }
 
-/// Client of the VM list.
-#[derive(Debug, Clone)]
+/// Client of the VM list. It keeps the newest list, so that only its changes are
+/// sent.
+#[derive(Debug)]
 pub struct Vms {
     http: Client,
     peer: SocketAddr,
     timeout: Duration,
+    newest: RefCell<Option<VmList>>,
 }
 
 impl Vms {
     /// Opens a client; each call ends within `timeout`.
     pub fn open(http: Client, peer: SocketAddr, timeout: Duration) -> Vms {
-        Vms { http, peer, timeout }
+        Vms { http, peer, timeout, newest: RefCell::new(None) }
     }
 
     /// Reads the list.
@@ -66,7 +68,15 @@
     /// # Errors
     /// Any [`http::Error`].
     pub async fn list(&self) -> Result<VmList> {
-        self.http.get(self.peer, "/v1/vms", self.timeout).await
+        let known = self.newest.borrow().as_ref().map_or(0, |list| list.version);
+        let path = format!("/v1/vms?version={known}");
+        let update: VmUpdate = self.http.get(self.peer, &path, self.timeout).await?;
+        let mut newest = self.newest.borrow_mut();
+        let before = newest.take().map(|list| list.vms).unwrap_or_default();
+        let vms = update.vms.unwrap_or(before);
+        let list = VmList { asof: update.asof, version: update.version, vms };
+        *newest = Some(list.clone());
+        Ok(list)
     }
 }
 
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -13,5 +13,5 @@
     },
     client::{Backend, Log, Vms},
     stream::{Append, Appended, Batch, Entry},
-    vm::{Kind, Vm, VmList, VmState},
+    vm::{Kind, Vm, VmList, VmState, VmUpdate},
 };
--- a/crates/plat/src/vm.rs
+++ b/crates/plat/src/vm.rs
@@ -57,6 +57,21 @@
     /// The moment that the list describes, in milliseconds since the Unix
     /// epoch.
     pub asof: Millis,
+    /// Version of the list at that moment: it grows with each change.
+    pub version: u64,
     /// The VMs that exist at that moment.
     pub vms: Vec<Vm>,
 }
+
+/// Answer to `GET /v1/vms?version=N`: the VMs are left out where the version is
+/// still `N`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct VmUpdate {
+    /// The moment described.
+    pub asof: Millis,
+    /// Version of the list at that moment.
+    pub version: u64,
+    /// The VMs, where the version differs from the one asked with.
+    #[serde(default)]
+    pub vms: Option<Vec<Vm>>,
+}
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -42,7 +42,7 @@
                 sizes.push(server.size.minus(reserve));
             }
             let shunned = view.policy.shun && view.now.mono < server.shunned;
-            if !server.usable() || shunned {
+            if !server.usable(view.now.unix) || shunned {
                 continue;
             }
             let held = committed.get(&server.id).copied().unwrap_or_default();
--- a/crates/sched/src/protect.rs
+++ b/crates/sched/src/protect.rs
@@ -1,5 +1,5 @@
 use base::Name;
-use cell::{Phase, Server, ServerState, Task};
+use cell::{Phase, Server, Task};
 
 use crate::{Decision, Eviction, Plan, Speed, View};
 
@@ -16,19 +16,14 @@
 /// away from servers that leave.
 pub(crate) fn protect(view: &View<'_>, plan: &mut Plan) {
     for server in view.servers.values() {
-        if leaving(view, server) {
+        if server.leaving(view.now.unix) {
             vacate(view, server, plan);
-        } else if server.usable() {
+        } else if server.usable(view.now.unix) {
             relieve(view, server, plan);
         }
     }
 }
 
-fn leaving(view: &View<'_>, server: &Server) -> bool {
-    let soon = server.until.is_some_and(|until| view.now.unix + 30_000 >= until);
-    server.state == ServerState::Leaving || server.says_leaving || (soon && view.policy.returns)
-}
-
 fn running<'a>(view: &View<'a>, server: &Server) -> Vec<&'a Task> {
     let here = Phase::Running(server.id.clone());
     view.table.tasks.values().filter(|task| task.phase == here).collect()
--- a/crates/stub/src/vms.rs
+++ b/crates/stub/src/vms.rs
@@ -8,7 +8,7 @@
 use base::{Millis, Name, now};
 use http::{Answer, Ask, Server, json};
 use http_types::Method;
-use plat::{Vm, VmList, VmState};
+use plat::{Vm, VmState, VmUpdate};
 use serde::{Deserialize, Serialize};
 
 /// Faults that can be switched on.
@@ -27,9 +27,17 @@
     rpc: BTreeMap<Name, SocketAddr>,
 }
 
+/// The list from one moment on.
+#[derive(Debug, Clone, Default)]
+struct Version {
+    at: Millis,
+    number: u64,
+    vms: BTreeMap<Name, Vm>,
+}
+
 #[derive(Debug, Default)]
 struct State {
-    history: VecDeque<(Millis, BTreeMap<Name, Vm>)>,
+    history: VecDeque<Version>,
     views: BTreeMap<String, View>,
     servers: Vec<Server>,
     faults: Faults,
@@ -37,26 +45,36 @@
 
 impl State {
     fn change(&mut self, edit: impl FnOnce(&mut BTreeMap<Name, Vm>)) {
-        let mut vms = self.history.back().map(|(_, vms)| vms.clone()).unwrap_or_default();
-        edit(&mut vms);
-        self.history.push_back((now().unix, vms));
+        let mut next = self.history.back().cloned().unwrap_or_default();
+        edit(&mut next.vms);
+        next.at = now().unix;
+        next.number += 1;
+        self.history.push_back(next);
         while self.history.len() > 200 {
             self.history.pop_front();
         }
     }
 
-    fn list(&self, view: Option<&str>) -> VmList {
+    /// The list as it was, for a reader that has version `known`.
+    fn list(&self, view: Option<&str>, known: u64) -> VmUpdate {
         let asof = now().unix.saturating_sub(self.faults.lag_ms);
-        let then = self.history.iter().rev().find(|(at, _)| *at <= asof);
-        let mut vms: Vec<Vm> =
-            then.map(|(_, vms)| vms.values().cloned().collect()).unwrap_or_default();
+        let then = self.history.iter().rev().find(|version| version.at <= asof);
+        let Some(then) = then else { return VmUpdate { asof, version: 0, vms: Some(Vec::new()) } };
+        let changed = known != then.number;
+        let vms = changed.then(|| self.seen(view, then));
+        VmUpdate { asof, version: then.number, vms }
+    }
+
+    /// The VMs with the addresses that a view shows.
+    fn seen(&self, view: Option<&str>, version: &Version) -> Vec<Vm> {
+        let mut vms: Vec<Vm> = version.vms.values().cloned().collect();
         if let Some(view) = view.and_then(|name| self.views.get(name)) {
             for vm in &mut vms {
                 vm.http = view.http.get(&vm.id).copied().unwrap_or(vm.http);
                 vm.rpc = view.rpc.get(&vm.id).copied().or(vm.rpc);
             }
         }
-        VmList { asof, vms }
+        vms
     }
 }
 
@@ -89,7 +107,10 @@
 async fn answer(state: Shared, view: Option<String>, ask: Ask) -> Option<Answer> {
     let done = match (ask.method, ask.path.as_str()) {
         (Method::Get, "/v1/vms") if state.borrow().faults.outage => return None,
-        (Method::Get, "/v1/vms") => Ok(json(200, &state.borrow().list(view.as_deref()))),
+        (Method::Get, "/v1/vms") => {
+            let known = ask.param("version").and_then(|v| v.parse().ok()).unwrap_or(0);
+            Ok(json(200, &state.borrow().list(view.as_deref(), known)))
+        }
         (Method::Post, "/v1/faults") => ask.decode().map(|faults: Faults| {
             state.borrow_mut().faults = faults.clone();
             json(200, &faults)
@@ -132,6 +153,7 @@
 async fn open_view(state: &Shared, name: &str, ask: &Ask) -> Result<Answer, Answer> {
     let view: View = ask.decode()?;
     let known = state.borrow_mut().views.insert(name.to_owned(), view).is_some();
+    state.borrow_mut().change(|_| {});
     if known {
         return Ok(json(200, &true));
     }
