--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -114,6 +114,7 @@
         for target in table.values_mut().filter(|t| t.leaving) {
             target.slots = target.inflight;
         }
+        self.targets.refresh();
     }
 
     /// Takes in what a primary has granted, and gives idle slots back where
@@ -139,6 +140,7 @@
             }
         }
         self.give_back(&ask.cell, answer.recall);
+        self.targets.refresh();
         self.wake_all();
     }
 
--- a/crates/route/src/target.rs
+++ b/crates/route/src/target.rs
@@ -5,6 +5,8 @@
 
 /// Candidates compared for one request.
 const SAMPLES: usize = 3;
+/// Servers met at random in search of them.
+const PROBES: usize = 12;
 /// Weight of a new latency in the moving mean.
 const LATENCY_WEIGHT: f64 = 0.2;
 /// Failures in a row after which a server is set aside.
@@ -134,6 +136,8 @@
 pub struct Targets {
     /// By VM identifier.
     pub table: BTreeMap<Name, Target>,
+    /// Servers of which slots are held, by distance.
+    held: [Vec<Name>; 3],
     turn: usize,
 }
 
@@ -148,18 +152,11 @@
         rng: &mut StdRng,
     ) -> Option<Pick> {
         for tier in [Tier::Domain, Tier::Region, Tier::Far] {
-            let fits =
-                |(id, t): &(&Name, &Target)| t.tier == tier && t.free(now) && !tried.contains(id);
-            let free: Vec<(&Name, &Target)> = self.table.iter().filter(fits).collect();
-            if free.is_empty() {
-                continue;
-            }
-            let candidates = free.len();
-            let chosen = match features.compare {
-                true => best(&free, rng),
-                false => free[self.turn % candidates].0.clone(),
+            let found = match features.compare {
+                true => self.sample(tier, now, tried, rng),
+                false => self.next_in_turn(tier, now, tried),
             };
-            self.turn = self.turn.wrapping_add(1);
+            let Some((chosen, candidates)) = found else { continue };
             let target = self.table.get_mut(&chosen)?;
             let cost = target.cost();
             target.inflight += 1;
@@ -168,6 +165,64 @@
         None
     }
 
+    /// Notes which servers slots are held of; to be called after a change of
+    /// the table or of its slots.
+    pub fn refresh(&mut self) {
+        self.held = Default::default();
+        for (id, target) in self.table.iter().filter(|(_, t)| t.slots > 0) {
+            self.held[target.tier as usize].push(id.clone());
+        }
+    }
+
+    /// The cheapest of a few servers with a free slot that are met at random;
+    /// where none is met, all are looked at.
+    fn sample(
+        &self,
+        tier: Tier,
+        now: Millis,
+        tried: &[Name],
+        rng: &mut StdRng,
+    ) -> Option<(Name, usize)> {
+        let ids = &self.held[tier as usize];
+        if ids.is_empty() {
+            return None;
+        }
+        let mut met: Vec<(&Name, f64)> = Vec::with_capacity(SAMPLES);
+        for _ in 0..PROBES {
+            let id = &ids[rng.random_range(0..ids.len())];
+            if let Some(target) = self.free(id, now, tried) {
+                met.push((id, target.cost()));
+            }
+            if met.len() == SAMPLES {
+                break;
+            }
+        }
+        if met.is_empty() {
+            let free = |id| self.free(id, now, tried).map(|target| (id, target.cost()));
+            met.extend(ids.iter().filter_map(free));
+        }
+        let candidates = met.len();
+        let best = met.into_iter().min_by(|a, b| a.1.total_cmp(&b.1));
+        best.map(|(id, _)| (id.clone(), candidates))
+    }
+
+    /// The next live server in turn.
+    fn next_in_turn(&mut self, tier: Tier, now: Millis, tried: &[Name]) -> Option<(Name, usize)> {
+        let ids = &self.held[tier as usize];
+        let free = |id: &&Name| self.free(id, now, tried).is_some();
+        let free: Vec<&Name> = ids.iter().filter(free).collect();
+        if free.is_empty() {
+            return None;
+        }
+        self.turn = self.turn.wrapping_add(1);
+        Some((free[self.turn % free.len()].clone(), free.len()))
+    }
+
+    fn free(&self, id: &Name, now: Millis, tried: &[Name]) -> Option<&Target> {
+        let target = self.table.get(id)?;
+        (target.free(now) && !tried.contains(id)).then_some(target)
+    }
+
     /// Gives the slot of a request back.
     pub fn release(&mut self, backend: &str) {
         if let Some(target) = self.table.get_mut(backend) {
@@ -207,14 +262,3 @@
         self.table.values().any(|t| t.slots > 0 && !t.leaving)
     }
 }
-
-fn best(free: &[(&Name, &Target)], rng: &mut StdRng) -> Name {
-    let mut chosen = free[rng.random_range(0..free.len())];
-    for _ in 1..SAMPLES {
-        let other = free[rng.random_range(0..free.len())];
-        if other.1.cost() < chosen.1.cost() {
-            chosen = other;
-        }
-    }
-    chosen.0.clone()
-}
--- /dev/null
+++ b/crates/route/tests/pick.rs
@@ -0,0 +1,140 @@
+//! Which server a request goes to, by a table of cases.
+
+use base::Name;
+use rand::{SeedableRng, rngs::StdRng};
+use route::{Budget, Features, Target, Targets, Tier};
+
+/// A server as a case describes it.
+#[derive(Clone, Copy)]
+struct At {
+    id: &'static str,
+    tier: Tier,
+    slots: u32,
+    inflight: u32,
+    leaving: bool,
+    failures: u32,
+    latency: f64,
+}
+
+const NEAR: At = At {
+    id: "near",
+    tier: Tier::Domain,
+    slots: 8,
+    inflight: 0,
+    leaving: false,
+    failures: 0,
+    latency: 20.0,
+};
+const OTHER: At = At { id: "other", ..NEAR };
+const REGION: At = At { id: "region", tier: Tier::Region, ..NEAR };
+const FAR: At = At { id: "far", tier: Tier::Far, ..NEAR };
+
+struct Case {
+    name: &'static str,
+    servers: &'static [At],
+    tried: &'static [&'static str],
+    chosen: Option<&'static str>,
+}
+
+fn targets(servers: &[At]) -> Targets {
+    let mut targets = Targets::default();
+    for at in servers {
+        let mut target = Target::open(([127, 0, 0, 1], 1).into(), "d.r".into(), at.tier);
+        target.slots = at.slots;
+        target.inflight = at.inflight;
+        target.leaving = at.leaving;
+        targets.table.insert(at.id.into(), target);
+        targets.answered(at.id, at.latency);
+        (0..at.failures).for_each(|_| targets.failed(at.id, 0, Features::FULL));
+    }
+    targets.refresh();
+    targets
+}
+
+#[test]
+fn the_nearest_server_with_a_free_slot_is_chosen() {
+    let cases = [
+        Case { name: "none", servers: &[], tried: &[], chosen: None },
+        Case {
+            name: "near first",
+            servers: &[FAR, NEAR, REGION],
+            tried: &[],
+            chosen: Some("near"),
+        },
+        Case {
+            name: "no free slot near",
+            servers: &[At { inflight: 8, ..NEAR }, REGION, FAR],
+            tried: &[],
+            chosen: Some("region"),
+        },
+        Case {
+            name: "no slot held near",
+            servers: &[At { slots: 0, ..NEAR }, FAR],
+            tried: &[],
+            chosen: Some("far"),
+        },
+        Case {
+            name: "near leaves",
+            servers: &[At { leaving: true, ..NEAR }, REGION],
+            tried: &[],
+            chosen: Some("region"),
+        },
+        Case {
+            name: "near was tried",
+            servers: &[NEAR, REGION],
+            tried: &["near"],
+            chosen: Some("region"),
+        },
+        Case {
+            name: "near fails again and again",
+            servers: &[At { failures: 3, ..NEAR }, REGION],
+            tried: &[],
+            chosen: Some("region"),
+        },
+        Case {
+            name: "two failures are not enough",
+            servers: &[At { failures: 2, ..NEAR }, REGION],
+            tried: &[],
+            chosen: Some("near"),
+        },
+        Case {
+            name: "the quicker one",
+            servers: &[At { latency: 400.0, ..NEAR }, OTHER],
+            tried: &[],
+            chosen: Some("other"),
+        },
+    ];
+    for case in cases {
+        let tried: Vec<Name> = case.tried.iter().map(|id| Name::from(*id)).collect();
+        let mut rng = StdRng::seed_from_u64(1);
+        let pick = targets(case.servers).pick(1, &tried, Features::FULL, &mut rng);
+        assert_eq!(pick.map(|p| p.backend.to_string()).as_deref(), case.chosen, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_server_that_was_set_aside_is_tried_again() {
+    let mut targets = targets(&[At { failures: 3, ..NEAR }]);
+    let mut rng = StdRng::seed_from_u64(1);
+    assert!(targets.pick(499, &[], Features::FULL, &mut rng).is_none());
+    assert!(targets.pick(500, &[], Features::FULL, &mut rng).is_some());
+}
+
+#[test]
+fn slots_are_never_exceeded() {
+    let mut targets = targets(&[NEAR, REGION]);
+    let mut rng = StdRng::seed_from_u64(1);
+    let picked = (0..100).filter(|_| targets.pick(1, &[], Features::FULL, &mut rng).is_some());
+    assert_eq!(picked.count(), 16);
+}
+
+#[test]
+fn extra_requests_are_a_fraction_of_the_others() {
+    let mut budget = Budget::open();
+    while budget.spend() {}
+    let extra = (0..1000).filter(|_| {
+        budget.earn();
+        budget.spend()
+    });
+    assert!((99..=100).contains(&extra.count()));
+}
--- a/crates/sched/benches/decide.rs
+++ b/crates/sched/benches/decide.rs
@@ -105,6 +105,7 @@
         target.slots = 1;
         targets.table.insert(format!("b{t}").into(), target);
     }
+    targets.refresh();
     let mut rng = StdRng::seed_from_u64(1);
     let times = (0..ROUNDS).map(|_| {
         let began = Instant::now();
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -16,8 +16,8 @@
     pub to: Name,
     /// Version of the configuration in force at the sender.
     pub version: u64,
-    /// What the sender's cells hold, by team; changes only now and then.
-    pub teams: BTreeMap<Name, Size>,
+    /// What the sender's cells hold, by team, where this heartbeat tells.
+    pub teams: Option<BTreeMap<Name, Size>>,
     /// Whether the sender is shutting down.
     pub leaving: bool,
     /// VMs that the sender has seen vanish from the VM list.
