Keep noisy work together, and compare servers without meeting one twice

The cost of a place punished noisy neighbours also for noisy work, which spread it over all servers; of three servers one was met twice, so that the slow one was taken in 1 of 27 requests; and a latency never aged.

Noisy work goes where noisy work is, candidates differ, and a latency older than 3 s gives way to the usual one.

--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -453,7 +453,7 @@
                 event!("answer_dropped", request = id, backend = pick.backend);
                 return Tried::Doubt;
             }
-            targets.answered(&pick.backend, took);
+            targets.answered(&pick.backend, time, took);
             Tried::Whole { status, body }
         }
         Err(e) => {
--- a/crates/route/src/target.rs
+++ b/crates/route/src/target.rs
@@ -13,8 +13,10 @@
 const FAILURES: u32 = 3;
 /// First time for which a server is set aside; it doubles up to 16 times.
 const ASIDE: Millis = 500;
-/// Latency of a server that has not answered yet, in milliseconds.
+/// Latency expected while nothing is known, in milliseconds.
 const FIRST_LATENCY: f64 = 1.0;
+/// Time after which a latency is old.
+const STALE: Millis = 3000;
 
 /// How far away a server is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -78,6 +80,7 @@
     /// Time added by what runs beside the service, as a fraction.
     pub excess: f64,
     latency: Option<f64>,
+    answered: Millis,
     failures: u32,
     aside: Millis,
 }
@@ -94,6 +97,7 @@
             leaving: false,
             excess: 0.0,
             latency: None,
+            answered: 0,
             failures: 0,
             aside: 0,
         }
@@ -103,9 +107,11 @@
         self.inflight < self.slots && !self.leaving && now >= self.aside
     }
 
-    /// Expected time of one more request, in milliseconds.
-    fn cost(&self) -> f64 {
-        let latency = self.latency.unwrap_or(FIRST_LATENCY);
+    /// Expected time of one more request, in milliseconds. A latency that is
+    /// old gives way to the usual one.
+    fn cost(&self, now: Millis, usual: f64) -> f64 {
+        let fresh = self.latency.filter(|_| now <= self.answered + STALE);
+        let latency = fresh.unwrap_or(usual);
         let load = f64::from(self.inflight + 1) / f64::from(self.slots.max(1));
         self.tier.cost() + latency * (1.0 + self.excess) * (1.0 + 0.5 * load)
     }
@@ -138,6 +144,8 @@
     pub table: BTreeMap<Name, Target>,
     /// Servers of which slots are held, by distance.
     held: [Vec<Name>; 3],
+    /// Median of the latencies, in milliseconds.
+    usual: Option<f64>,
     turn: usize,
 }
 
@@ -157,8 +165,9 @@
                 false => self.next_in_turn(tier, now, tried),
             };
             let Some((chosen, candidates)) = found else { continue };
+            let usual = self.usual.unwrap_or(FIRST_LATENCY);
             let target = self.table.get_mut(&chosen)?;
-            let cost = target.cost();
+            let cost = target.cost(now, usual);
             target.inflight += 1;
             return Some(Pick { backend: chosen, http: target.http, candidates, cost, tier });
         }
@@ -169,6 +178,9 @@
     /// the table or of its slots.
     pub fn refresh(&mut self) {
         self.held = Default::default();
+        let mut seen: Vec<f64> = self.table.values().filter_map(|t| t.latency).collect();
+        seen.sort_by(f64::total_cmp);
+        self.usual = seen.get(seen.len() / 2).copied();
         for (id, target) in self.table.iter().filter(|(_, t)| t.slots > 0) {
             self.held[target.tier as usize].push(id.clone());
         }
@@ -187,18 +199,22 @@
         if ids.is_empty() {
             return None;
         }
+        let usual = self.usual.unwrap_or(FIRST_LATENCY);
         let mut met: Vec<(&Name, f64)> = Vec::with_capacity(SAMPLES);
         for _ in 0..PROBES {
             let id = &ids[rng.random_range(0..ids.len())];
+            if met.iter().any(|(other, _)| *other == id) {
+                continue;
+            }
             if let Some(target) = self.free(id, now, tried) {
-                met.push((id, target.cost()));
+                met.push((id, target.cost(now, usual)));
             }
             if met.len() == SAMPLES {
                 break;
             }
         }
         if met.is_empty() {
-            let free = |id| self.free(id, now, tried).map(|target| (id, target.cost()));
+            let free = |id| self.free(id, now, tried).map(|target| (id, target.cost(now, usual)));
             met.extend(ids.iter().filter_map(free));
         }
         let candidates = met.len();
@@ -230,10 +246,11 @@
         }
     }
 
-    /// Notes an answer after `latency` milliseconds.
-    pub fn answered(&mut self, backend: &str, latency: f64) {
+    /// Notes an answer at `now` after `latency` milliseconds.
+    pub fn answered(&mut self, backend: &str, now: Millis, latency: f64) {
         let Some(target) = self.table.get_mut(backend) else { return };
         target.failures = 0;
+        target.answered = now;
         let mean = target.latency.unwrap_or(latency);
         target.latency = Some(mean + LATENCY_WEIGHT * (latency - mean));
     }
@@ -249,12 +266,10 @@
         }
     }
 
-    /// Latency that most servers stay within, in milliseconds: the time after
-    /// which a request counts as slow.
+    /// Median of the servers' latencies, in milliseconds, as of the last
+    /// refresh.
     pub fn usual(&self) -> Option<f64> {
-        let mut seen: Vec<f64> = self.table.values().filter_map(|t| t.latency).collect();
-        seen.sort_by(f64::total_cmp);
-        seen.get(seen.len() / 2).copied()
+        self.usual
     }
 
     /// Whether any server could take a request later on.
--- a/crates/route/tests/pick.rs
+++ b/crates/route/tests/pick.rs
@@ -44,7 +44,7 @@
         target.inflight = at.inflight;
         target.leaving = at.leaving;
         targets.table.insert(at.id.into(), target);
-        targets.answered(at.id, at.latency);
+        targets.answered(at.id, 0, at.latency);
         (0..at.failures).for_each(|_| targets.failed(at.id, 0, Features::FULL));
     }
     targets.refresh();
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -7,8 +7,10 @@
 
 /// Time before a VM goes back in which its tasks are moved away.
 const RETURN_MARGIN: Millis = 60_000;
-/// Weight of added service latency against a fuller server.
+/// Weight of time added to requests against time added to tasks.
 const SERVICE_WEIGHT: f64 = 4.0;
+/// Time added to requests, as a fraction, from which a kind counts as noisy.
+const NOISE: f64 = 0.05;
 
 /// What is free on the servers that take work.
 pub(crate) struct Rooms {
@@ -151,11 +153,17 @@
 /// and they to it, then how full the server gets.
 fn cost(view: &View<'_>, job: &Job, room: &Room) -> f64 {
     let learn = view.learn;
-    let mut cost = SERVICE_WEIGHT * learn.excess("service", &job.kind);
+    let noise = learn.excess("service", &job.kind);
+    let mut cost = 0.0;
+    let mut noisy = false;
     for kind in &room.kinds {
         cost += learn.excess(&job.kind, kind) + learn.excess(kind, &job.kind);
-        // Work that slows the service is kept together on few servers.
-        cost += SERVICE_WEIGHT * learn.excess("service", kind) * 0.1;
+        noisy |= learn.excess("service", kind) > NOISE;
+    }
+    // Work that slows the service is kept together, so that requests have
+    // servers to go to without it.
+    if noise > NOISE && !noisy {
+        cost += SERVICE_WEIGHT * noise;
     }
     let free = room.free.minus(job.size);
     cost + 0.05 * free.cpu as f64 / room.size.cpu.max(1) as f64
