Throttle by the latency target, to half speed

Neighbours are slowed to half when the server's mean reaches 0.8 of the target, and freed when that leaves 0.6.

--- a/crates/sched/src/protect.rs
+++ b/crates/sched/src/protect.rs
@@ -3,12 +3,14 @@
 
 use crate::{Decision, Eviction, Plan, Speed, View};
 
-/// Times the idle time at which neighbours of a service are slowed.
+/// Times the idle time at which the baseline evicts.
 const SLOW_FACTOR: f64 = 1.5;
-/// Times the idle time below which they run freely again.
-const FREE_FACTOR: f64 = 1.2;
+/// Part of the latency target at which neighbours of a service are slowed.
+const SLOW_PART: f64 = 0.8;
+/// Part of the target that must be kept for them to run freely again.
+const FREE_PART: f64 = 0.6;
 /// Speed of a throttled task, in percent.
-const THROTTLED: u64 = 25;
+const THROTTLED: u64 = 50;
 /// Excess from which a neighbour counts as a cause.
 const CAUSE_EXCESS: f64 = 0.05;
 
@@ -46,7 +48,7 @@
     });
 }
 
-/// Compares the service's lagging time with its target and its idle time.
+/// Compares the service's lagging time with its target.
 fn relieve(view: &View<'_>, server: &Server, plan: &mut Plan) {
     let (Some(time), Some(idle)) = (server.usage.service, view.learn.idle()) else { return };
     let tasks = running(view, server);
@@ -57,20 +59,23 @@
     if !view.policy.throttle {
         return relieve_plainly(view, server, factor, &tasks, plan);
     }
+    let Some(target) = view.document.services.iter().map(|s| s.target_ms).min() else { return };
+    let part = time / target as f64;
     // The report describes a moment before the newest change took effect.
     let settled = |task: &&Task| task.since < server.usage.asof;
-    if factor > SLOW_FACTOR {
+    if part > SLOW_PART {
         let cause = tasks.iter().copied().filter(settled).filter(|t| speed(view, t) == 100);
         let worst = cause.max_by(|a, b| excess(view, a).total_cmp(&excess(view, b)));
         if let Some(task) = worst.filter(|t| excess(view, t) > CAUSE_EXCESS) {
-            set_speed(task, server, THROTTLED, factor, plan);
+            set_speed(task, server, THROTTLED, part, plan);
         }
-    } else if factor < FREE_FACTOR {
+    } else {
         let slowed = tasks.iter().copied().filter(|t| speed(view, t) < 100);
-        if let Some(task) = slowed.min_by(|a, b| excess(view, a).total_cmp(&excess(view, b))) {
-            let alone = factor * (1.0 + excess(view, task));
-            if alone < SLOW_FACTOR {
-                set_speed(task, server, 100, factor, plan);
+        let least = slowed.min_by(|a, b| excess(view, a).total_cmp(&excess(view, b)));
+        if let Some(task) = least {
+            let freed = part + excess(view, task) * idle / target as f64 / 2.0;
+            if freed < FREE_PART {
+                set_speed(task, server, 100, part, plan);
             }
         }
     }
@@ -103,7 +108,7 @@
     view.speeds.get(&task.id).copied().unwrap_or(100)
 }
 
-fn set_speed(task: &Task, server: &Server, percent: u64, factor: f64, plan: &mut Plan) {
+fn set_speed(task: &Task, server: &Server, percent: u64, part: f64, plan: &mut Plan) {
     plan.speeds.push(Speed {
         task: task.id.clone(),
         attempt: task.attempt,
@@ -115,6 +120,6 @@
         task: task.id.clone(),
         candidates: 1,
         chosen: server.id.clone(),
-        why: format!("service at {factor:.2} of idle, speed {percent}%"),
+        why: format!("service at {part:.2} of its target, speed {percent}%"),
     });
 }
