--- a/crates/console/src/fleet.rs
+++ b/crates/console/src/fleet.rs
@@ -57,6 +57,13 @@
     owned.map(|cell| (text(&cell["cell"]), cell)).collect()
 }
 
+/// Tasks by phase, such as `3 running, 1 queued`.
+fn counts(tasks: &Value) -> String {
+    let phases = tasks.as_object().into_iter().flatten();
+    let counts: Vec<String> = phases.map(|(phase, n)| format!("{n} {}", escape(phase))).collect();
+    if counts.is_empty() { "-".to_owned() } else { counts.join(", ") }
+}
+
 fn cells(statuses: &[(SocketAddr, Option<Value>)]) -> String {
     let row = |(name, cell): (&String, &&Value)| {
         vec![
@@ -65,7 +72,7 @@
             text(&cell["primary"]),
             text(&cell["backup"]),
             if cell["deciding"] == true { "yes".into() } else { "<b class=\"bad\">no</b>".into() },
-            text(&cell["tasks"]),
+            counts(&cell["tasks"]),
         ]
     };
     let cells = own_cells(statuses);
--- a/crates/console/src/page.rs
+++ b/crates/console/src/page.rs
@@ -4,7 +4,7 @@
 body{font:16px/1.5 system-ui,sans-serif;margin:0 auto;max-width:70rem;padding:0 1rem 3rem}
 nav a{margin-right:1rem}table{border-collapse:collapse;width:100%;margin:.5rem 0 1.5rem}
 th,td{text-align:left;padding:.25rem .5rem;border-bottom:1px solid #ddd;vertical-align:top}
-input{width:100%;box-sizing:border-box;font:inherit;min-width:4rem}button{font:inherit;padding:.4rem 1rem}
+input{width:100%;box-sizing:border-box;font:inherit;min-width:6rem}button{font:inherit;padding:.4rem 1rem}
 pre{background:#f6f6f6;padding:.5rem;overflow-x:auto}.bad{color:#a00}.good{color:#060}
 ins{background:#dfd;text-decoration:none;display:block}del{background:#fdd;text-decoration:none;display:block}
 .wide{overflow-x:auto}";
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -31,9 +31,9 @@
 /// Retries of the baseline.
 const FIXED_RETRIES: usize = 2;
 /// Times the usual latency after which a second copy is sent.
-const HEDGE_FACTOR: f64 = 3.0;
+const HEDGE_FACTOR: f64 = 1.75;
 /// Least time after which a second copy is sent, in milliseconds.
-const HEDGE_FLOOR: f64 = 30.0;
+const HEDGE_FLOOR: f64 = 10.0;
 /// Time within which a server ends what it has received.
 const LINGER: Duration = Duration::from_millis(1000);
 /// Time within which a server must answer a probe.
