--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod node;
 mod platform;
 mod report;
+mod router;
 mod rpc;
 mod serve;
 mod servers;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -17,7 +17,7 @@
 use sched::Learn;
 use wire::Link;
 
-use crate::{Mode, serve::Router};
+use crate::{Mode, router::Router};
 
 /// Shards of idempotency keys in a failure domain. It never changes, so that a
 /// key always has the same home.
