--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -8,6 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use base::{Millis, Name, Now};
+use plat::Start;
 
 pub use self::setup::{Action, Guards, Role, Setup, World};
 use crate::{Given, Held, JournalRecord, Op, Phase, Record, Server, Table};
@@ -317,8 +318,22 @@
         let left = if alone { START_TTL } else { self.held.until.saturating_sub(now.mono) };
         let ttl = if self.setup.guards.deadline { left.min(START_TTL) } else { 1 << 40 };
         let before = now.unix + ttl;
+        let job = self.table.job(entry)?;
+        let start = Start {
+            task: task.clone(),
+            attempt,
+            epoch: self.epoch(),
+            kind: job.kind.clone(),
+            size: job.size,
+            before,
+            lease: now.unix + self.setup.task_lease,
+            work: job.work,
+            checkpoint: entry.checkpoint,
+            command: job.command.clone(),
+        };
+        let backend = backend.clone();
         self.sent.insert(task.clone(), before);
-        Some(Action::Start { task: task.clone(), attempt, backend: backend.clone(), before })
+        Some(Action::Start { backend, start })
     }
 
     /// Whether a start is decided but not sent.
--- a/crates/cell/src/engine/setup.rs
+++ b/crates/cell/src/engine/setup.rs
@@ -1,4 +1,5 @@
 use base::{Millis, Name, Now};
+use plat::Start;
 
 use crate::{JournalRecord, Peer, Record};
 
@@ -91,14 +92,10 @@
     Rebuild(u64),
     /// Send a start whose intent is replicated.
     Start {
-        /// Task.
-        task: Name,
-        /// Attempt.
-        attempt: u32,
         /// Backend server.
         backend: Name,
-        /// Unix milliseconds after which it is void.
-        before: Millis,
+        /// The start.
+        start: Start,
     },
     /// Send a checkpoint and stop.
     Stop {
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -21,7 +21,7 @@
     journal::{Journal, JournalBatch, JournalReader, JournalRecord},
     lease::{Given, Held},
     op::{Job, Op, Outcome, Sync, SyncReply, Verdict},
-    reconcile::{Settled, reap, settle},
+    reconcile::{Settled, answered, reap, settle, stopped},
     record::{Claim, Peer, Record, Registry},
     server::{RETURN_LEAD, Server, ServerState},
     table::{KeyEntry, Parking, Phase, Table, Task},
--- a/crates/cell/src/reconcile.rs
+++ b/crates/cell/src/reconcile.rs
@@ -1,9 +1,9 @@
 use std::collections::BTreeSet;
 
 use base::{Name, Now, Size};
-use plat::{Listing, RunState, TaskReport};
+use plat::{Listing, RunState, Start, StartAnswer, Stop, StopAnswer, TaskReport};
 
-use crate::{Cell, Op, Phase, ServerState};
+use crate::{Cell, Op, Phase, Role, ServerState};
 
 /// What a listing calls for at the backend server.
 #[derive(Debug, Default, PartialEq, Eq)]
@@ -53,6 +53,37 @@
     locate(cell, now);
 }
 
+/// What an answer to a start proves, once it was the only copy: it runs, or it
+/// never will.
+pub fn answered(cell: &Cell, start: &Start, answer: StartAnswer) -> Option<Op> {
+    let task = cell.table.tasks.get(&start.task)?;
+    let open = matches!(task.phase, Phase::Assigned(_)) && task.attempt == start.attempt;
+    if !open || cell.role != Role::Primary {
+        return None;
+    }
+    let (task, attempt) = (start.task.clone(), start.attempt);
+    Some(match answer {
+        StartAnswer::Started => Op::Started { task, attempt },
+        StartAnswer::Refused(_) => ended(&task, attempt, start.checkpoint, false),
+    })
+}
+
+/// What an answer to a stop proves: the attempt does not run any more.
+pub fn stopped(cell: &Cell, backend: &Name, stop: &Stop, answer: StopAnswer) -> Option<Op> {
+    let task = cell.table.tasks.get(&stop.task)?;
+    let open = task.phase == Phase::Stopping(backend.clone()) && task.attempt == stop.attempt;
+    if !open || cell.role != Role::Primary {
+        return None;
+    }
+    let (id, attempt) = (stop.task.clone(), stop.attempt);
+    Some(match answer {
+        StopAnswer::Stopped { checkpoint } => ended(&id, attempt, checkpoint, true),
+        StopAnswer::Finished => Op::Done { task: id, attempt, ok: true },
+        StopAnswer::Failed => Op::Done { task: id, attempt, ok: false },
+        StopAnswer::Unknown => ended(&id, attempt, task.checkpoint, false),
+    })
+}
+
 /// Attempts of the table that the server does not know.
 fn missing(cell: &Cell, backend: &Name, listing: &Listing, asked: Now) -> Vec<Op> {
     let known: BTreeSet<(&Name, u32)> =
--- a/crates/cell/tests/sim/vm.rs
+++ b/crates/cell/tests/sim/vm.rs
@@ -3,7 +3,7 @@
 use base::{Millis, Name, Now, Size};
 use cell::{
     Action, Cell, Claim, Guards, Job, Journal, JournalReader, JournalRecord, Op, Peer, Phase,
-    Registry, Role, Server, ServerState, Setup, World, reap,
+    Registry, Role, Server, ServerState, Setup, World, answered, reap, stopped,
 };
 use plat::{Renew, Start, StartAnswer, Stop, StopAnswer};
 
@@ -144,44 +144,15 @@
     }
 
     pub(crate) fn started(&mut self, start: &Start, answer: StartAnswer, now: Now) {
-        let open =
-            self.cell.table.tasks.get(&start.task).is_some_and(|t| {
-                matches!(t.phase, Phase::Assigned(_)) && t.attempt == start.attempt
-            });
-        if !open || self.cell.role != Role::Primary {
-            return;
+        if let Some(op) = answered(&self.cell, start, answer) {
+            self.cell.commit(op, now);
         }
-        let (task, attempt) = (start.task.clone(), start.attempt);
-        let op = match answer {
-            StartAnswer::Started => Op::Started { task, attempt },
-            StartAnswer::Refused(_) => {
-                Op::Ended { task, attempt, checkpoint: start.checkpoint, evicted: false }
-            }
-        };
-        self.cell.commit(op, now);
     }
 
     pub(crate) fn stopped(&mut self, stop: &Stop, backend: &Name, answer: StopAnswer, now: Now) {
-        let phase = Phase::Stopping(backend.clone());
-        let open = self
-            .cell
-            .table
-            .tasks
-            .get(&stop.task)
-            .is_some_and(|t| t.phase == phase && t.attempt == stop.attempt);
-        if !open || self.cell.role != Role::Primary {
-            return;
+        if let Some(op) = stopped(&self.cell, backend, stop, answer) {
+            self.cell.commit(op, now);
         }
-        let (task, attempt) = (stop.task.clone(), stop.attempt);
-        let op = match answer {
-            StopAnswer::Stopped { checkpoint } => {
-                Op::Ended { task, attempt, checkpoint, evicted: true }
-            }
-            StopAnswer::Finished => Op::Done { task, attempt, ok: true },
-            StopAnswer::Failed => Op::Done { task, attempt, ok: false },
-            StopAnswer::Unknown => Op::Ended { task, attempt, checkpoint: 0, evicted: false },
-        };
-        self.cell.commit(op, now);
     }
 }
 
@@ -344,9 +315,7 @@
                 Action::Claim(record) => self.claim(i, Claim::Claim(record)),
                 Action::Journal(record) => self.vms[i].journal.push(record),
                 Action::Rebuild(epoch) => self.vms[i].rebuild = Some(epoch),
-                Action::Start { task, attempt, backend, before } => {
-                    self.start(i, task, attempt, &backend, before);
-                }
+                Action::Start { backend, start } => self.start(i, &backend, start),
                 Action::Stop { task, attempt, backend } => {
                     let stop = Stop { task, attempt, checkpoint: true };
                     self.send(i, number(&backend), Body::Stop(stop));
@@ -370,26 +339,8 @@
         }
     }
 
-    fn start(&mut self, i: usize, task: Name, attempt: u32, backend: &Name, before: Millis) {
-        let now = self.vms[i].now(self.now);
-        let lease = now.unix + TASK_LEASE;
-        let cell = &self.vms[i].cell;
-        let epoch = cell.epoch();
-        let Some(entry) = cell.table.tasks.get(&task) else { return };
-        let Some(job) = cell.table.job(entry) else { return };
-        let start = Start {
-            task: task.clone(),
-            attempt,
-            epoch,
-            kind: job.kind.clone(),
-            size: job.size,
-            before,
-            lease,
-            work: job.work,
-            checkpoint: entry.checkpoint,
-            command: "".into(),
-        };
-        self.note(|| format!("{i} starts {task} attempt {attempt} on {backend} epoch {epoch}"));
+    fn start(&mut self, i: usize, backend: &Name, start: Start) {
+        self.note(|| format!("{i} starts {} attempt {} on {backend}", start.task, start.attempt));
         let incarnation = self.vms[i].peer().incarnation;
         let message =
             Message { from: i, to: number(backend), incarnation, body: Body::Start(start) };
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -1,8 +1,8 @@
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use async_std::task::{JoinHandle, sleep, spawn_local};
-use base::{Millis, Name, Now, Size, now};
-use cell::{Action, Cell, Op, Role, Sync, SyncReply, reap};
+use base::{Millis, Name, Now, Size, event, now};
+use cell::{Action, Cell, Op, Peer, Role, Sync, SyncReply, reap};
 use plat::{Start, Stop, Throttle};
 use sched::{Plan, View};
 use wire::Method;
@@ -14,6 +14,10 @@
 
 /// Period at which an unchanged cell is looked at again.
 const IDLE_PERIOD: Millis = 500;
+/// Period at which at most one cell is given to the VM that should have it.
+const BALANCE_PERIOD: Millis = 3000;
+/// Time for which a primary keeps a cell before it may give it away.
+const BALANCE_REST: Millis = 15_000;
 /// Time within which a peer must answer.
 const SYNC_LIMIT: Duration = Duration::from_millis(400);
 /// Period at which records are repeated, as a fraction of their retention.
@@ -26,8 +30,13 @@
     spawn_local(async move {
         let mut idle = 0;
         let mut refreshed = now().mono;
+        let mut balanced = refreshed;
         loop {
             let time = now();
+            if time.mono > balanced + BALANCE_PERIOD {
+                balanced = time.mono;
+                balance(&node, time);
+            }
             let whole = time.mono >= idle + IDLE_PERIOD;
             if whole {
                 idle = time.mono;
@@ -65,6 +74,31 @@
     pump(node);
 }
 
+/// Resigns from one cell whose backup is a better choice for it than this VM,
+/// as after VMs have come and gone.
+fn balance(node: &Rc<Node>, time: Now) {
+    let mut state = node.state.borrow_mut();
+    if state.shutting || !state.log_up(time) || state.entered > 0 {
+        return;
+    }
+    let rested =
+        |cell: &&Cell| cell.deciding(time.mono) && time.mono > cell.since.mono + BALANCE_REST;
+    let misplaced = |cell: &&Cell| {
+        let backup = cell.record.as_ref().and_then(|r| r.backup.as_ref());
+        let live = state.members.live(&cell.id, time);
+        let place = |peer: &Peer| live.iter().position(|p| p == peer);
+        let (Some(backup), Some(mine)) = (backup.and_then(place), place(&node.me)) else {
+            return false;
+        };
+        backup < mine
+    };
+    let cell = state.cells.values().filter(rested).find(misplaced).map(|c| c.id.clone());
+    if let Some(cell) = cell.and_then(|id| state.cells.get_mut(&id)) {
+        event!("balance", cell = cell.id, epoch = cell.epoch());
+        cell.resign(time.mono);
+    }
+}
+
 /// Plans for one cell and commits the plan.
 fn decide(node: &Rc<Node>, state: &mut State, id: &Name, time: Now) {
     let shutting = state.shutting;
@@ -190,11 +224,7 @@
             Action::Claim(record) => platform::claim(node, record),
             Action::Journal(record) => node.state.borrow_mut().journal.push(record),
             Action::Rebuild(epoch) => platform::rebuild(node, id.clone(), epoch),
-            Action::Start { task, attempt, backend, before } => {
-                if let Some(start) = start(node, id, &task, attempt, before) {
-                    starts.entry(backend).or_default().push(start);
-                }
-            }
+            Action::Start { backend, start } => starts.entry(backend).or_default().push(start),
             Action::Stop { task, attempt, backend } => {
                 let stop = Stop { task, attempt, checkpoint: true };
                 servers::stop(node, id, &backend, stop);
@@ -206,27 +236,6 @@
     }
 }
 
-fn start(node: &Rc<Node>, id: &Name, task: &Name, attempt: u32, before: Millis) -> Option<Start> {
-    let lease = now().unix + node.settings.timing.task_lease;
-    let state = node.state.borrow();
-    let cell = state.cells.get(id)?;
-    let epoch = cell.epoch();
-    let entry = cell.table.tasks.get(task)?;
-    let job = cell.table.job(entry)?;
-    Some(Start {
-        task: task.clone(),
-        attempt,
-        epoch,
-        kind: job.kind.clone(),
-        size: job.size,
-        before,
-        lease,
-        work: job.work,
-        checkpoint: entry.checkpoint,
-        command: job.command.clone(),
-    })
-}
-
 /// Sends what is due to each backup, all cells of a pair in one message.
 pub(crate) fn pump(node: &Rc<Node>) {
     let time = now();
--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -27,6 +27,12 @@
 /// Length of an identifier at most, in bytes.
 const MAX_ID: usize = 100;
 
+/// Said of an identifier that its home does not have.
+const UNKNOWN: &str = "not known: never submitted, or longer ago than outcomes are kept";
+/// Said of a job that its cell does not have.
+const ENDED: &str =
+    "not known to its cell: not accepted, or ended longer ago than outcomes are kept";
+
 /// Body of `POST /v1/jobs`.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -261,12 +267,12 @@
     let job = id.split('#').next().unwrap_or(id);
     let cell = match cell_of(node, job, domain).await {
         Some(LookupReply::Found(cell)) => Name::from(cell),
-        Some(LookupReply::Unknown) => return Answer::fault(404, "not known, nothing was run"),
+        Some(LookupReply::Unknown) => return Answer::fault(404, UNKNOWN),
         _ => return Answer::fault(503, "its home cannot be reached; ask again"),
     };
     match lookup_at(node, &Lookup { cell, id: id.into() }).await {
         LookupReply::Found(text) => Answer::new(200, "application/json", text),
-        LookupReply::Unknown => Answer::fault(404, "not accepted, nothing was run"),
+        LookupReply::Unknown => Answer::fault(410, ENDED),
         LookupReply::NotPrimary => Answer::fault(503, "its cell has no primary now; ask again"),
     }
 }
@@ -275,12 +281,12 @@
 pub(crate) async fn cancel(node: &Rc<Node>, id: &str, domain: Option<&str>) -> Answer {
     let cell = match cell_of(node, id, domain).await {
         Some(LookupReply::Found(cell)) => Name::from(cell),
-        Some(LookupReply::Unknown) => return Answer::fault(404, "not known, nothing was run"),
+        Some(LookupReply::Unknown) => return Answer::fault(404, UNKNOWN),
         _ => return Answer::fault(503, "its home cannot be reached; ask again"),
     };
     let submit = Submit { cell, job: None, id: id.into() };
     match to_cell(node, &submit).await {
-        SubmitReply::Unknown => Answer::fault(404, "not accepted, nothing was run"),
+        SubmitReply::Unknown => Answer::fault(410, ENDED),
         SubmitReply::Accepted => taken(200, id, "cancelled", None),
         _ => taken(202, id, "pending", None),
     }
--- a/crates/entry/src/servers.rs
+++ b/crates/entry/src/servers.rs
@@ -2,9 +2,9 @@
 
 use async_std::task::{JoinHandle, sleep, spawn_local};
 use base::{Millis, Name, Now, event, now};
-use cell::{Cell, Op, Phase, Role, ServerState, Settled, settle};
+use cell::{Cell, Op, Role, ServerState, Settled, answered, settle, stopped};
 use plat::{
-    Acknowledge, Listing, Renew, RunState, Start, StartAnswer, Stop, StopAnswer, TaskReport,
+    Acknowledge, Listing, RefuseReason, Renew, RunState, Start, StartAnswer, Stop, TaskReport,
 };
 
 use crate::{
@@ -135,13 +135,7 @@
         let entry = cell.table.tasks.get(task)?;
         cell.table.job(entry).map(|job| job.kind.clone())
     };
-    let mut kinds = Vec::new();
-    for usage in &listing.usage.tasks {
-        if let Some(kind) = kind(&usage.task) {
-            state.learn.usage(&kind, usage.used);
-            kinds.push(kind);
-        }
-    }
+    let kinds: Vec<Name> = listing.usage.tasks.iter().filter_map(|u| kind(&u.task)).collect();
     if let Some(service) = listing.usage.service {
         state.learn.service(service, &kinds);
     }
@@ -186,7 +180,7 @@
             let Some(cell) = state.cells.get_mut(&id) else { return };
             for (i, start) in starts.iter().enumerate() {
                 let answer = answers.as_ref().map(|a| a.get(i).copied());
-                if let Some(op) = answered(cell, start, answer) {
+                if let Some(op) = outcome_of(cell, start, answer) {
                     cell.commit(op, time);
                 }
             }
@@ -196,29 +190,25 @@
     });
 }
 
-/// What an answer to a start proves; a lost answer proves nothing, and the next
-/// listing settles it.
-fn answered(
+/// What became of a start; a lost answer proves nothing, and the next listing
+/// settles it.
+fn outcome_of(
     cell: &Cell,
     start: &Start,
     answer: Result<Option<StartAnswer>, &http::Error>,
 ) -> Option<Op> {
-    let task = cell.table.tasks.get(&start.task)?;
-    let open = matches!(task.phase, Phase::Assigned(_)) && task.attempt == start.attempt;
-    if !open || cell.role != Role::Primary {
-        return None;
-    }
-    let (task, attempt) = (start.task.clone(), start.attempt);
-    let checkpoint = start.checkpoint;
-    let refused = Op::Ended { task: task.clone(), attempt, checkpoint, evicted: false };
+    let (task, attempt) = (&start.task, start.attempt);
     match answer {
-        Ok(Some(StartAnswer::Started)) => Some(Op::Started { task, attempt }),
-        Ok(Some(StartAnswer::Refused(reason))) => {
-            event!("start_refused", task = task, attempt = attempt, reason = format!("{reason:?}"));
-            Some(refused)
+        Ok(Some(answer)) => {
+            if let StartAnswer::Refused(reason) = answer {
+                let reason = format!("{reason:?}");
+                event!("start_refused", task = task, attempt = attempt, reason = reason);
+            }
+            answered(cell, start, answer)
         }
         Ok(None) => None,
-        Err(e) if e.unsent() => Some(refused),
+        // Nothing was sent: the server will never run it.
+        Err(e) if e.unsent() => answered(cell, start, StartAnswer::Refused(RefuseReason::Late)),
         Err(e) => {
             event!("start_in_doubt", task = task, attempt = attempt, error = e);
             None
@@ -245,26 +235,6 @@
     });
 }
 
-fn stopped(cell: &Cell, backend: &Name, stop: &Stop, answer: StopAnswer) -> Option<Op> {
-    let task = cell.table.tasks.get(&stop.task)?;
-    let open = task.phase == Phase::Stopping(backend.clone()) && task.attempt == stop.attempt;
-    if !open || cell.role != Role::Primary {
-        return None;
-    }
-    let (id, attempt) = (stop.task.clone(), stop.attempt);
-    Some(match answer {
-        StopAnswer::Stopped { checkpoint } => {
-            Op::Ended { task: id, attempt, checkpoint, evicted: true }
-        }
-        StopAnswer::Finished => Op::Done { task: id, attempt, ok: true },
-        StopAnswer::Failed => Op::Done { task: id, attempt, ok: false },
-        StopAnswer::Unknown => {
-            let checkpoint = task.checkpoint;
-            Op::Ended { task: id, attempt, checkpoint, evicted: false }
-        }
-    })
-}
-
 fn renewals(node: &Node, polls: &mut BTreeMap<Name, Poll>) -> Vec<(Name, Name)> {
     let state = node.state.borrow();
     let time = now().mono;
--- a/crates/sched/src/learn.rs
+++ b/crates/sched/src/learn.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use base::{Millis, Name, Size};
+use base::{Millis, Name};
 
 /// Newest samples kept of one quantity.
 const WINDOW: usize = 64;
@@ -44,7 +44,6 @@
 #[derive(Debug, Clone, Default)]
 pub struct Learn {
     runtimes: BTreeMap<Name, Sample>,
-    cpus: BTreeMap<Name, Sample>,
     /// By the kind that is slowed, then by the kind that slows it.
     pairs: BTreeMap<Name, BTreeMap<Name, f64>>,
     idle: Option<f64>,
@@ -56,22 +55,12 @@
         self.runtimes.entry(kind.clone()).or_default().add(time);
     }
 
-    /// Notes what a running task really uses.
-    pub fn usage(&mut self, kind: &Name, used: Size) {
-        self.cpus.entry(kind.clone()).or_default().add(used.cpu);
-    }
-
     /// Run time that three of four tasks of the kind stay within, or what was
     /// declared while nothing is known.
     pub fn expect(&self, kind: &str, declared: Millis) -> Millis {
         self.runtimes.get(kind).and_then(|s| s.quantile(75)).unwrap_or(declared)
     }
 
-    /// Processors that nine of ten tasks of the kind stay within.
-    pub fn cpu(&self, kind: &str) -> Option<u64> {
-        self.cpus.get(kind).and_then(|s| s.quantile(90))
-    }
-
     /// Notes that `slowed` was measured at `factor` times its idle time while
     /// `beside` ran on the same server. The excess is shared out among the
     /// neighbours by what is known of them.
