Keys of jobs outlive the jobs; say what the engine's fields are for

A repeated submission would have chosen its cell anew.

Asking a shard answers with one type in place of nested options.

--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -16,11 +16,15 @@
 /// Time after which a start that was not received is void.
 pub(crate) const START_TTL: Millis = 500;
 
+/// A message to the backup that is under way.
 #[derive(Debug)]
 struct Flying {
     seq: u64,
+    /// When it was sent, on the monotonic clock.
     sent: Millis,
+    /// Index after the last change in it.
     end: u64,
+    /// Whether it holds the whole table.
     table: bool,
 }
 
@@ -57,14 +61,24 @@
     settle: Millis,
     /// The primary has said that it is out.
     resigned: bool,
+    /// Number of the newest message to or from the backup.
     seq: u64,
+    /// Index of the first change that the backup has not confirmed; at a
+    /// backup, of the next one expected.
     first: u64,
+    /// Changes from `first` on.
     ops: VecDeque<Op>,
+    /// Durable changes, with their index, that the log has not confirmed.
     unlogged: VecDeque<(u64, Op)>,
+    /// Changes before this index have been passed to the journal.
     journaled: u64,
+    /// Starts to send once the backup has the change of their index.
     starts: VecDeque<(u64, Name, u32)>,
+    /// Stops, likewise.
     stops: VecDeque<(u64, Name, u32)>,
+    /// The message that the backup has not answered.
     flying: Option<Flying>,
+    /// The backup needs the whole table.
     whole: bool,
     /// Epoch in which the unbroken run as primary began.
     tenure: u64,
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -24,5 +24,5 @@
     reconcile::{Settled, answered, reap, settle, stopped},
     record::{Claim, Peer, Record, Registry},
     server::{RETURN_LEAD, Server, ServerState},
-    table::{KeyEntry, Parking, Phase, Table, Task},
+    table::{JOB_KEY, KeyEntry, Parking, Phase, Table, Task},
 };
--- a/crates/cell/src/table.rs
+++ b/crates/cell/src/table.rs
@@ -5,6 +5,11 @@
 
 use crate::{Credits, Job, Op, Outcome};
 
+/// Beginning of the keys that lead from a job's identifier to its cell.
+pub const JOB_KEY: &str = "job:";
+/// Time for which those are kept beyond other keys: 30 days.
+const JOB_KEYS: Millis = 30 * 24 * 3_600_000;
+
 /// Why a task is parked; empty where it is not.
 pub type Parking = Name;
 
@@ -177,8 +182,9 @@
         }
     }
 
-    /// Forgets jobs whose tasks have all ended before `before`, and keys
-    /// entered before `before` that are settled.
+    /// Forgets jobs whose tasks have all ended before `before`, settled keys of
+    /// requests entered before `before`, and settled keys of jobs, which lead to
+    /// jobs that may still run, entered [`JOB_KEYS`] earlier.
     pub fn forget(&mut self, before: Millis) {
         let mut live: BTreeSet<Name> = BTreeSet::new();
         for task in self.tasks.values() {
@@ -190,7 +196,10 @@
         let jobs = &self.jobs;
         self.tasks.retain(|_, task| jobs.contains_key(&task.job));
         self.cancelled.retain(|id| jobs.contains_key(id));
-        self.keys.retain(|_, entry| entry.outcome.is_none() || entry.at >= before);
+        self.keys.retain(|key, entry| {
+            let kept = if key.starts_with(JOB_KEY) { JOB_KEYS } else { 0 };
+            entry.outcome.is_none() || entry.at + kept >= before
+        });
     }
 
     fn submit(&mut self, job: &Job, now: Millis) -> bool {
--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -2,7 +2,7 @@
 
 use async_std::task::sleep;
 use base::{Millis, Name, event, now, rank};
-use cell::{Cell, Job, Op, Outcome, Peer, Role};
+use cell::{Cell, JOB_KEY, Job, Op, Outcome, Peer, Role};
 use conf::Class;
 use http::{Answer, Ask, json};
 use rand::Rng;
@@ -83,8 +83,8 @@
     let body = serde_json::to_vec(&new).unwrap_or_default();
     let enter = Enter {
         cell: shard,
-        key: format!("job:{id}").into(),
-        service: format!("job:{}", new.kind).into(),
+        key: format!("{JOB_KEY}{id}").into(),
+        service: format!("{JOB_KEY}{}", new.kind).into(),
         body,
         left: ACCEPT_TIME,
     };
@@ -150,7 +150,7 @@
 /// the same one.
 pub(crate) fn choose_cell(node: &Node, enter: &Enter) -> Outcome {
     let state = node.state.borrow();
-    let kind = enter.service.strip_prefix("job:").and_then(|k| state.config.document.kind(k));
+    let kind = enter.service.strip_prefix(JOB_KEY).and_then(|k| state.config.document.kind(k));
     let size = kind.map(|k| k.size).unwrap_or_default();
     let reserve = state.config.document.reserve();
     let fits = |cell: &&Cell| cell.servers.values().any(|s| size.fits(s.size.minus(reserve)));
@@ -244,7 +244,7 @@
 /// The cell of a job, from the home of its identifier.
 async fn cell_of(node: &Rc<Node>, id: &str, domain: Option<&str>) -> Option<LookupReply> {
     let shard = home(node, id, domain)?;
-    let key = Name::from(format!("job:{id}"));
+    let key = Name::from(format!("{JOB_KEY}{id}"));
     Some(lookup_at(node, &Lookup { cell: shard, id: key }).await)
 }
 
--- a/crates/entry/src/keys.rs
+++ b/crates/entry/src/keys.rs
@@ -2,7 +2,7 @@
 
 use async_std::task::{sleep, spawn_local};
 use base::{Millis, Name, hash, now, rank};
-use cell::{Op, Outcome, Role};
+use cell::{JOB_KEY, Op, Outcome, Role};
 use wire::{
     Method,
     msg::{Enter, EnterReply},
@@ -43,28 +43,27 @@
     loop {
         let primary = node.state.borrow().registry.get(&enter.cell).map(|r| r.primary.clone());
         let reply = match primary {
-            None => None,
-            Some(peer) if peer == node.me => Some(answer(node, enter.clone()).await),
-            Some(peer) => ask(node, &peer.vm, enter).await?,
+            None => EnterReply::NotPrimary,
+            Some(peer) if peer == node.me => answer(node, enter.clone()).await,
+            Some(peer) => ask(node, &peer.vm, enter).await,
         };
         match reply {
-            None | Some(EnterReply::NotPrimary) if now().mono < until => sleep(PAUSE * 20).await,
-            None | Some(EnterReply::NotPrimary) => return None,
-            Some(reply) => return Some(reply),
+            EnterReply::NotPrimary if now().mono < until => sleep(PAUSE * 20).await,
+            EnterReply::NotPrimary => return None,
+            reply => return Some(reply),
         }
     }
 }
 
-/// `Some(None)` where the call did not reach the peer; a call whose answer was
-/// lost is repeated by the caller under the same key, which is safe.
-#[allow(clippy::option_option)]
-async fn ask(node: &Rc<Node>, vm: &str, enter: &Enter) -> Option<Option<EnterReply>> {
-    let Some(link) = node.link(vm) else { return Some(None) };
+/// Asks another VM's process. What did not reach it counts as asked of the wrong
+/// one; where the answer was lost the caller repeats the key, which is safe.
+async fn ask(node: &Rc<Node>, vm: &str, enter: &Enter) -> EnterReply {
+    let Some(link) = node.link(vm) else { return EnterReply::NotPrimary };
     let limit = Duration::from_millis(enter.left + TRAVEL);
     match link.call(Method::Enter, enter, limit).await {
-        Ok(reply) => Some(Some(reply)),
-        Err(e) if e.unsent() => Some(None),
-        Err(_) => Some(Some(EnterReply::Pending)),
+        Ok(reply) => reply,
+        Err(e) if e.unsent() => EnterReply::NotPrimary,
+        Err(_) => EnterReply::Pending,
     }
 }
 
@@ -144,7 +143,7 @@
 
 /// Sends the request and records what became of it.
 async fn run(node: Rc<Node>, enter: Enter, until: Millis) {
-    let outcome = match enter.service.strip_prefix("job:") {
+    let outcome = match enter.service.strip_prefix(JOB_KEY) {
         Some(_) => crate::jobs::choose_cell(&node, &enter),
         None => {
             let request = Request {
