The id of a job that may have been forgotten is not taken again

Cause: the case "expiry" submitted ids again by an error of its own (names were counted from a table that had been cleared), and the jobs ran twice: the key of the id was known, but the cell had forgotten the job with its outcome after half of the retention and took it in anew. "No request is doubled" speaks against it.

The key's outcome says when the cell was chosen.

Ruled out: forgetting the key with the job (the id would start a job again).

--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -48,6 +48,20 @@
     command: Name,
 }
 
+/// Where a job went, kept as the outcome of the key of its identifier.
+#[derive(Debug, Serialize, Deserialize)]
+struct Home {
+    cell: Name,
+    /// When it was chosen, in Unix milliseconds.
+    at: Millis,
+}
+
+impl Home {
+    fn parse(body: &[u8]) -> Option<Home> {
+        serde_json::from_slice(body).ok()
+    }
+}
+
 fn one() -> u32 {
     1
 }
@@ -94,8 +108,15 @@
             taken(409, &id, "refused", Some("the id is in use for another job".to_owned()))
         }
         Some(EnterReply::Outcome(Outcome::Answer { body, .. })) => {
-            let cell = Name::from(String::from_utf8_lossy(&body));
-            let submit = Submit { cell, job: Some(job), id: id.clone() };
+            let Some(home) = Home::parse(&body) else {
+                return Answer::fault(500, "the id's home cannot be read");
+            };
+            // A job that its cell may have forgotten is not taken in anew.
+            let kept = node.settings.timing.retention / 2;
+            if now().unix > home.at + kept {
+                return find(node, &id, ask.header("x-domain")).await;
+            }
+            let submit = Submit { cell: home.cell, job: Some(job), id: id.clone() };
             answer_submit(node, &submit).await
         }
         Some(_) => taken(202, &id, "pending", None),
@@ -163,7 +184,11 @@
     let owned = |cell: &&Cell| !urgent || cell.record.is_some();
     let chosen = with_servers().filter(fits).filter(owned).max_by(best);
     match chosen.or_else(|| with_servers().max_by(best)) {
-        Some(cell) => Outcome::Answer { status: 200, body: cell.id.as_bytes().to_vec() },
+        Some(cell) => {
+            let home = Home { cell: cell.id.clone(), at: now().unix };
+            let body = serde_json::to_vec(&home).unwrap_or_default();
+            Outcome::Answer { status: 200, body }
+        }
         None => Outcome::NotRun,
     }
 }
@@ -245,7 +270,14 @@
 async fn cell_of(node: &Rc<Node>, id: &str, domain: Option<&str>) -> Option<LookupReply> {
     let shard = home(node, id, domain)?;
     let key = Name::from(format!("{JOB_KEY}{id}"));
-    Some(lookup_at(node, &Lookup { cell: shard, id: key }).await)
+    let reply = lookup_at(node, &Lookup { cell: shard, id: key }).await;
+    Some(match reply {
+        LookupReply::Found(text) => match Home::parse(text.as_bytes()) {
+            Some(home) => LookupReply::Found(home.cell.to_string()),
+            None => LookupReply::Unknown,
+        },
+        other => other,
+    })
 }
 
 async fn lookup_at(node: &Rc<Node>, lookup: &Lookup) -> LookupReply {
@@ -266,7 +298,7 @@
 pub(crate) async fn find(node: &Rc<Node>, id: &str, domain: Option<&str>) -> Answer {
     let job = id.split('#').next().unwrap_or(id);
     let cell = match cell_of(node, job, domain).await {
-        Some(LookupReply::Found(cell)) => Name::from(cell),
+        Some(LookupReply::Found(cell)) => cell.into(),
         Some(LookupReply::Unknown) => return Answer::fault(404, UNKNOWN),
         _ => return Answer::fault(503, "its home cannot be reached; ask again"),
     };
@@ -280,7 +312,7 @@
 /// `POST /v1/jobs/ID/cancel`.
 pub(crate) async fn cancel(node: &Rc<Node>, id: &str, domain: Option<&str>) -> Answer {
     let cell = match cell_of(node, id, domain).await {
-        Some(LookupReply::Found(cell)) => Name::from(cell),
+        Some(LookupReply::Found(cell)) => cell.into(),
         Some(LookupReply::Unknown) => return Answer::fault(404, UNKNOWN),
         _ => return Answer::fault(503, "its home cannot be reached; ask again"),
     };
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -73,7 +73,15 @@
     def listen(self):
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.bind(("127.0.0.1", self.port or 0))
+        # While connections are refused, another program may hold the port.
+        for attempt in range(200):
+            try:
+                self.sock.bind(("127.0.0.1", self.port or 0))
+                break
+            except OSError:
+                if attempt == 199:
+                    raise
+                time.sleep(0.1)
         self.port = self.sock.getsockname()[1]
         self.sock.listen(128)
         threading.Thread(target=self.accept, args=(self.sock,), daemon=True).start()
