--- a/crates/stub/src/backend.rs
+++ b/crates/stub/src/backend.rs
@@ -1,7 +1,4 @@
-use std::{
-    cell::RefCell, collections::BTreeMap, collections::VecDeque, net::SocketAddr, rc::Rc,
-    time::Duration,
-};
+use std::{cell::RefCell, collections::VecDeque, net::SocketAddr, rc::Rc, time::Duration};
 
 use async_std::task::{JoinHandle, sleep, spawn_local};
 use base::{Millis, Name, Size, now};
@@ -54,11 +51,9 @@
     runs: Runs,
     faults: Faults,
     inflight: usize,
-    most: usize,
     incarnation: u64,
     usage: VecDeque<LoadReport>,
     window: Vec<f64>,
-    outcomes: BTreeMap<Name, String>,
     rng: StdRng,
 }
 
@@ -92,11 +87,9 @@
             runs,
             faults: Faults::default(),
             inflight: 0,
-            most: 0,
             incarnation: now().unix,
             usage: VecDeque::new(),
             window: Vec::new(),
-            outcomes: BTreeMap::new(),
         }));
         let shared = Rc::clone(&state);
         let server = http::bind(addr, move |ask| answer(Rc::clone(&shared), ask)).await?;
@@ -241,7 +234,6 @@
             return Answer::fault(503, "no free slot").with("x-not-run", "1");
         }
         state.inflight += 1;
-        state.most = state.most.max(state.inflight);
         let spread = state.rng.random_range(0.7..1.3);
         state.setup.service as f64 * spread * state.runs.slowdown("service")
     };
@@ -251,9 +243,6 @@
     state.window.push(time);
     state.record(What::Request, &id, key.as_deref());
     let echo = String::from_utf8_lossy(&ask.body);
-    if let Some(key) = key {
-        state.outcomes.insert(key.into(), id.clone());
-    }
     let served = Served { request: &id, service, backend: &state.setup.id, echo: &echo };
     let answer = json(200, &served);
     if state.faults.cross_answers == 0 {
