A cancelled job is kept across a change of leader as long as any other

Cause: a cancelling was made durable with the end time 0, which is set only once the cancelling is in force. The next leader read a job that is over and ended in 1970, dropped it as older than 600 s at its first tick, and took a late repeat of the submission for a new job: its tasks ran again after the caller had been told that it is cancelled, and the job was unknown to those who asked.

Change: the time goes into the record when the cancelling is asked for. The tests' clocks begin in 2026, since with a clock near 0 nothing was ever old.

Ruled out: the store's stand-in losing keys (the claim's condition on the log's end held, and records skipped while reading would have been logged: none was); jobs taken back, since the answers say Accepted and Cancelled.

Test first: "cancelled" of what_a_caller_was_told_outlives_the_leader, state None instead of Cancelled.

--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -146,7 +146,7 @@
     }
 
     /// Takes a cancelling in.
-    pub fn cancel(&mut self, id: &Name) -> Submitted {
+    pub fn cancel(&mut self, id: &Name, now: Now) -> Submitted {
         let Some(job) = self.jobs.get_mut(id).filter(|job| job.stored) else {
             return Submitted::NoJob;
         };
@@ -155,6 +155,9 @@
             return if job.end_stored { Submitted::Known } else { Submitted::Waiting(mark) };
         }
         job.cancel_asked = true;
+        // The record of the cancelling says when, so that the next leader keeps the
+        // job for as long as any other.
+        job.ended = now.unix;
         Submitted::Waiting(self.journal.progress(id))
     }
 
--- a/crates/lead/tests/decisions.rs
+++ b/crates/lead/tests/decisions.rs
@@ -126,13 +126,49 @@
     for start in fleet.starts() {
         fleet.answer_start(&start, Ok(1));
     }
-    assert!(matches!(fleet.lead.cancel(&"a".into()), Submitted::Waiting(_)));
+    assert!(matches!(fleet.lead.cancel(&"a".into(), NOW), Submitted::Waiting(_)));
     assert!(fleet.stops().is_empty());
     assert_eq!(fleet.lead.state("a"), Some(State::Active));
     fleet.store();
     assert_eq!(fleet.stops().len(), 2);
     assert_eq!(fleet.lead.state("a"), Some(State::Cancelled));
-    assert_eq!(fleet.lead.cancel(&"b".into()), Submitted::NoJob);
+    assert_eq!(fleet.lead.cancel(&"b".into(), NOW), Submitted::NoJob);
+}
+
+#[test]
+fn what_a_caller_was_told_outlives_the_leader() {
+    struct Case {
+        name: &'static str,
+        end: Option<End>,
+        cancel: bool,
+        expected: State,
+    }
+    let cases = [
+        Case { name: "waits", end: None, cancel: false, expected: State::Queued },
+        Case { name: "done", end: Some(End::Done), cancel: false, expected: State::Completed },
+        Case { name: "cancelled", end: None, cancel: true, expected: State::Cancelled },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::open(1);
+        fleet.accept("a", spec(step(1, 1_000)));
+        if let Some(end) = case.end {
+            let sent = fleet.starts().remove(0);
+            fleet.answer_start(&sent, Ok(1));
+            fleet.list("w0", &[], &[(1, &sent.1, end)]);
+        }
+        if case.cancel {
+            fleet.lead.cancel(&"a".into(), NOW);
+        }
+        fleet.store();
+        fleet.succeed();
+        // A change of leader in which the new one decides and makes it durable.
+        fleet.orders();
+        fleet.store();
+        fleet.succeed();
+        fleet.orders();
+        assert_eq!(fleet.lead.state("a"), Some(case.expected), "{}", case.name);
+        assert_eq!(fleet.submit("a", spec(step(1, 1_000))), Submitted::Known, "{}", case.name);
+    }
 }
 
 #[test]
--- a/crates/lead/tests/fleet/mod.rs
+++ b/crates/lead/tests/fleet/mod.rs
@@ -1,14 +1,17 @@
 //! A leader whose workers answer as a test says.
 
-use std::{collections::BTreeSet, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use base::{Millis, Name, Now, Size};
 use job::{Queue, Spec, StepId, TaskId};
 use lead::{Bounds, Lead, Order, Submitted};
-use port::{Allowed, End, Ended, Entry, Held, Hold, Running, Start, Stop, WorkerFault};
+use port::{Allowed, End, Ended, Entry, Held, Hold, Item, Running, Start, Stop, WorkerFault};
 
 /// The moment at which a fleet opens.
-pub(crate) const NOW: Now = Now { mono: 100_000, unix: 100_000 };
+pub(crate) const NOW: Now = Now { mono: 100_000, unix: 1_796_000_000_000 };
 
 /// A start and the worker that it was sent to.
 pub(crate) type Sent = (Name, Start);
@@ -18,6 +21,8 @@
     now: Millis,
     number: u64,
     running: Vec<Sent>,
+    /// What the store holds.
+    kept: BTreeMap<Name, Vec<u8>>,
 }
 
 fn entry(n: usize) -> Entry {
@@ -39,7 +44,8 @@
     /// A leader with workers that have listed their runs.
     pub(crate) fn open(workers: usize) -> Fleet {
         let lead = Lead::open(1, &[], Bounds::default(), NOW);
-        let mut fleet = Fleet { lead, now: NOW.mono, number: 1_000, running: Vec::new() };
+        let (running, kept) = (Vec::new(), BTreeMap::new());
+        let mut fleet = Fleet { lead, now: NOW.mono, number: 1_000, running, kept };
         for n in 0..workers {
             fleet.lead.on_entry(entry(n), NOW);
             fleet.list(&format!("w{n}"), &[], &[]);
@@ -54,7 +60,7 @@
     }
 
     fn time(&self) -> Now {
-        Now { mono: self.now, unix: self.now }
+        Now { mono: self.now, unix: NOW.unix + self.now - NOW.mono }
     }
 
     pub(crate) fn pass(&mut self, ms: Millis) {
@@ -65,8 +71,20 @@
     pub(crate) fn store(&mut self) {
         let time = self.time();
         while let Some(batch) = self.lead.batch() {
+            let records = batch.records.iter().map(|r| (r.key.clone(), r.value.clone()));
+            self.kept.extend(records);
             self.lead.on_stored(&batch, time);
         }
+        self.kept.retain(|_, value| !value.is_empty());
+    }
+
+    /// Another VM takes over with what the store holds.
+    pub(crate) fn succeed(&mut self) {
+        let kept = self.kept.iter();
+        let items: Vec<Item> =
+            kept.map(|(key, value)| Item { key: key.clone(), value: value.clone() }).collect();
+        let epoch = self.lead.epoch + 1;
+        self.lead = Lead::open(epoch, &items, Bounds::default(), self.time());
     }
 
     pub(crate) fn submit(&mut self, id: &str, spec: Spec) -> Submitted {
--- a/crates/lead/tests/world/mod.rs
+++ b/crates/lead/tests/world/mod.rs
@@ -12,6 +12,8 @@
 
 pub(crate) use worker::FakeWorker;
 
+/// Unix milliseconds at which the world begins.
+const UNIX: Millis = 1_796_000_000_000;
 /// Step of the simulated time.
 const STEP: Millis = 10;
 /// Time after which an order without an answer counts as in doubt.
@@ -123,7 +125,7 @@
     }
 
     pub(crate) fn time(&self) -> Now {
-        Now { mono: self.now, unix: self.now }
+        Now { mono: self.now, unix: UNIX + self.now }
     }
 
     /// Submits a job.
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -175,7 +175,7 @@
                 if let Some(after) = shared.stalled() {
                     return Some(Reply::NotDone(after));
                 }
-                shared.lead.as_mut()?.cancel(id)
+                shared.lead.as_mut()?.cancel(id, now())
             };
             settle(node, submitted, id, Reply::Cancelled).await
         }
