--- a/crates/conf/src/fleet.rs
+++ b/crates/conf/src/fleet.rs
@@ -25,6 +25,8 @@
     pub health: SocketAddr,
     /// Address for other entry VMs.
     pub peers: SocketAddr,
+    /// Address that other entry VMs are told, where it is not `peers`.
+    pub announce: Option<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Address of the policy service, where there is one.
@@ -50,7 +52,7 @@
     pub grace: Millis,
 }
 
-const ENTRY_KEYS: &[&str] = &["vm", "domain", "region", "callers", "health", "peers"];
+const ENTRY_KEYS: &[&str] = &["vm", "domain", "region", "callers", "health", "peers", "announce"];
 const PLATFORM_KEYS: &[&str] = &["store", "advice"];
 const VM_KEYS: &[&str] = &["share", "cores"];
 const BOUND_KEYS: &[&str] = &["hold-ms", "remote", "restore-ms", "impact-ms", "grace-s"];
@@ -97,6 +99,7 @@
         callers: reader.address("entry", "callers"),
         health: reader.address("entry", "health"),
         peers: reader.address("entry", "peers"),
+        announce: optional(reader, "entry", "announce"),
         store: reader.address("platform", "store"),
         advice: optional(reader, "platform", "advice"),
         power: (power * 1000.0) as u32,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -90,7 +90,8 @@
         let time = now();
         let peer = settings.peers;
         let domain = settings.domain.clone();
-        let me = Vm { name: settings.vm.clone(), domain, addr: peer, born: time.unix };
+        let addr = settings.announce.unwrap_or(peer);
+        let me = Vm { name: settings.vm.clone(), domain, addr, born: time.unix };
         let socket = UdpSocket::bind(peer).await.context(DatagramsSnafu { peer })?;
         let recorder = PrometheusBuilder::new().build_recorder();
         let metrics = recorder.handle();
