A queue without room does not hold up tasks of other kinds

Cause: a pass over the queue ended after 60 jobs that found no place, whatever they were.

Change: jobs are passed over by kind (serve, fill, plain), each with its own count of 60; a step at least as large as one that found no room in the same pass is passed over without a search. A line `event=load` once a second has the workers in use, processors, what serves, fills and waits by kind.

Ruled out: harm to services (`missing` was 0 while `filled` fell to 0); the change of leader at second 18 (the queue grew before it); too few processors.

Test first: a_long_queue_without_room_does_not_hold_up_what_fills, 0 starts instead of 1, for a queue of equal and of ever smaller tasks.

Open: basket-quote (plain tasks, priority 0) still waits.

--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -87,6 +87,8 @@
     pub(crate) looked: Millis,
     /// Worker at which the last search for a place ended.
     pub(crate) searched: Name,
+    /// When the load was last reported.
+    pub(crate) reported: Millis,
     watched: Millis,
     runs: u64,
     kept: Millis,
@@ -113,6 +115,7 @@
             usual: BTreeMap::new(),
             looked: now.mono,
             searched: "".into(),
+            reported: 0,
             watched: 0,
             runs: 0,
             kept: now.mono,
@@ -328,5 +331,6 @@
             self.unstick(now);
         }
         self.place(now);
+        self.report_load(now);
     }
 }
--- a/crates/lead/src/place.rs
+++ b/crates/lead/src/place.rs
@@ -4,13 +4,10 @@
 use job::{Step, TaskId};
 use port::Start;
 
-use crate::{Lead, Order, Run, RunState, Worker};
+use crate::{Lead, Order, Run, RunState, Worker, load::Kind, pass::Pass};
 
 /// Starts decided in one pass.
 const MAX_STARTS: usize = 200;
-/// Jobs that find no place after which a pass ends.
-const MAX_BLOCKED: usize = 60;
-
 /// Weight of idle processors against images that are alike, for tasks that serve.
 const IDLE_WEIGHT: f64 = 0.3;
 /// Weight of a worker that has failed the task before.
@@ -36,29 +33,38 @@
     /// Starts the tasks that wait where there is room for them.
     pub(crate) fn place(&mut self, now: Now) {
         let settled = self.settled(now);
-        let mut starts = 0;
-        let mut blocked = 0;
+        let mut pass = Pass::default();
         for id in self.order(now) {
-            if starts >= MAX_STARTS || blocked >= MAX_BLOCKED {
+            if pass.starts >= MAX_STARTS {
                 return;
             }
             if !settled && self.jobs.get(&id).is_some_and(|job| job.inherited) {
                 continue;
             }
+            if self.blocked(&id, &pass) {
+                continue;
+            }
             let tasks = self.waiting.remove(&id).unwrap_or_default();
-            let (started, left) = self.place_job(tasks, now);
-            starts += started;
+            let left = self.place_job(tasks, &mut pass, now);
             if !left.is_empty() {
-                blocked += 1;
                 self.waiting.insert(id, left);
             }
         }
     }
 
-    /// Starts tasks of one job; returns how many, and those left.
-    fn place_job(&mut self, tasks: Vec<TaskId>, now: Now) -> (usize, Vec<TaskId>) {
+    /// Whether no task that waits of a job can find a place in this pass.
+    fn blocked(&self, id: &Name, pass: &Pass) -> bool {
+        let (Some(job), Some(tasks)) = (self.jobs.get(id), self.waiting.get(id)) else {
+            return false;
+        };
+        let mut steps: Vec<u32> = tasks.iter().map(|task| task.step).collect();
+        steps.dedup();
+        steps.iter().all(|step| pass.blocks(&job.queue.service, &job.spec.steps[*step as usize]))
+    }
+
+    /// Starts tasks of one job; returns those left.
+    fn place_job(&mut self, tasks: Vec<TaskId>, pass: &mut Pass, now: Now) -> Vec<TaskId> {
         let mut left = Vec::new();
-        let mut started = 0;
         let mut full: Option<u32> = None;
         let mut gangs: BTreeMap<(u32, u32), Vec<TaskId>> = BTreeMap::new();
         for id in tasks {
@@ -80,12 +86,10 @@
             match self.find(&id, now) {
                 Some(worker) => {
                     self.start(&id, &worker, now);
-                    started += 1;
+                    pass.starts += 1;
                 }
                 None => {
-                    if self.advised(&id) {
-                        self.want_ticket(&id, now);
-                    }
+                    self.find_failed(&id, pass, now);
                     full = Some(id.step);
                     left.push(id);
                 }
@@ -93,15 +97,24 @@
         }
         for members in gangs.into_values() {
             if self.place_gang(&members, now) {
-                started += members.len();
+                pass.starts += members.len();
             } else {
-                if self.advised(&members[0]) {
-                    self.want_ticket(&members[0], now);
-                }
+                self.find_failed(&members[0], pass, now);
                 left.extend(members);
             }
         }
-        (started, left)
+        left
+    }
+
+    /// Notes that a task finds no place, and asks for a ticket where it needs one.
+    fn find_failed(&mut self, id: &TaskId, pass: &mut Pass, now: Now) {
+        let Some(job) = self.jobs.get(&id.job) else { return };
+        if let Some(step) = job.step(id) {
+            pass.note(&job.queue.service, step, job.queue.advised);
+        }
+        if self.advised(id) {
+            self.want_ticket(id, now);
+        }
     }
 
     /// The best worker for a task.
@@ -216,11 +229,6 @@
         entry.add(id.clone(), Run::ordered(no, &step, now.mono));
         let start = Start { task: id.clone(), run: no, text, deadline, token, saved, ticket };
         self.orders.push(Order::Start(entry.peer(), start));
-        let kind = match (step.target > 0, step.fills) {
-            (true, _) => "serve",
-            (_, true) => "fill",
-            _ => "plain",
-        };
         event!(
             "start",
             task = id,
@@ -230,7 +238,7 @@
             free_cpu = entry.free().cpu,
             filled = entry.filled,
             image = step.image,
-            kind = kind,
+            kind = Kind::of(&step).word(),
             age = now.mono.saturating_sub(entry.answered)
         );
     }
--- a/crates/lead/tests/decisions.rs
+++ b/crates/lead/tests/decisions.rs
@@ -373,3 +373,36 @@
         assert_eq!(fleet.starts().len(), case.starts, "{}", case.name);
     }
 }
+
+/// The pattern: a queue of tasks that find no room, longer than a pass looks at,
+/// in front of tasks that live on what others leave unused.
+#[test]
+fn a_long_queue_without_room_does_not_hold_up_what_fills() {
+    struct Case {
+        name: &'static str,
+        /// Steps of the jobs that find no place, in turn.
+        queue: &'static [u64],
+    }
+    let cases = [
+        Case { name: "alike", queue: &[3_000] },
+        Case { name: "ever smaller", queue: &[3_900, 3_800, 3_700, 3_600, 3_500, 3_400] },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::open(1);
+        let serves = Step { lasting: true, target: 50, image: "web".into(), ..step(1, 2_000) };
+        fleet.accept("s", spec(serves));
+        fleet.run_all();
+        fleet.pass(900);
+        fleet.measure(&|_| 5);
+        for n in 0..150 {
+            let cpu = case.queue[n % case.queue.len()];
+            fleet.accept(&format!("p{n:03}"), spec(step(1, cpu)));
+        }
+        fleet.pass(10);
+        let fills = Step { fills: true, image: "tiny".into(), ..step(1, 100) };
+        fleet.accept("z", spec(fills));
+        let starts = fleet.starts();
+        assert_eq!(starts.len(), 1, "{}", case.name);
+        assert_eq!(&*starts[0].1.task.job, "z", "{}", case.name);
+    }
+}
