One place that builds a run; dead methods of elect go

Ruled out: taking out known_harm, which a test needs to tell that the harmful image was learned and not only avoided by chance.

--- a/crates/elect/src/elect.rs
+++ b/crates/elect/src/elect.rs
@@ -158,14 +158,6 @@
         self.quiet = now + LOST_WAIT;
     }
 
-    /// Notes the epoch of an owner record that was read.
-    pub fn saw_epoch(&mut self, epoch: u64) {
-        if epoch > self.epoch {
-            self.epoch = epoch;
-            self.leader = None;
-        }
-    }
-
     /// Whether this VM should claim leadership now.
     pub fn should_claim(&mut self, now: Millis) -> bool {
         if self.leading || self.leaving || !self.store || now < self.quiet {
@@ -237,17 +229,6 @@
         now.saturating_sub(heard.max(vouched))
     }
 
-    /// Whether other VMs are heard, and none of them reaches the store.
-    pub fn store_away_everywhere(&self, now: Millis) -> bool {
-        let mut fresh = self.peers.values().filter(|peer| now < peer.at + FRESH).peekable();
-        fresh.peek().is_some() && fresh.all(|peer| !peer.beat.store)
-    }
-
-    /// Whether no other VM is heard though some were.
-    pub fn alone(&self, now: Millis) -> bool {
-        !self.known.is_empty() && !self.peers.values().any(|peer| now < peer.at + FRESH)
-    }
-
     /// VMs to send heartbeats to.
     pub fn targets(&mut self, now: Millis) -> Vec<Vm> {
         self.peers.retain(|_, peer| now < peer.at + FORGET);
--- a/crates/lead/src/hold.rs
+++ b/crates/lead/src/hold.rs
@@ -256,21 +256,14 @@
             }
         }
         let run = Run {
-            no: row.run,
             state: RunState::Running,
-            size: step.size,
-            fills: step.fills,
-            target: step.target,
-            image: step.image,
             began: 0,
             sure: now.mono,
-            retry: 0,
             ordered: false,
             percent: row.percent,
-            moved: now.mono,
             gauge: row.gauge,
             pace: u32::MAX,
-            over: 0,
+            ..Run::ordered(row.run, &step, now.mono)
         };
         if let Some(worker) = self.workers.get_mut(id) {
             worker.add(row.task.clone(), run);
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -15,6 +15,7 @@
 mod pass;
 mod place;
 mod restore;
+mod run;
 mod stuck;
 mod watch;
 mod worker;
@@ -22,5 +23,6 @@
 pub use crate::{
     journal::{Batch, OWNER},
     lead::{Bounds, Lead, Order, Submitted},
-    worker::{Run, RunState, Worker},
+    run::{Run, RunState},
+    worker::Worker,
 };
--- a/crates/lead/src/place.rs
+++ b/crates/lead/src/place.rs
@@ -1,10 +1,10 @@
 use std::{collections::BTreeMap, ops::Bound};
 
-use base::{Millis, Name, Now, Size, event};
+use base::{Name, Now, Size, event};
 use job::{Step, TaskId};
 use port::Start;
 
-use crate::{Lead, Order, Run, RunState, Worker, load::Kind, pass::Pass};
+use crate::{Lead, Order, Run, Worker, load::Kind, pass::Pass};
 
 /// Starts decided in one pass.
 const MAX_STARTS: usize = 200;
@@ -283,26 +283,3 @@
         same.len().min(1) as f64 - other.len() as f64
     }
 }
-
-impl Run {
-    /// A run that has just been ordered.
-    fn ordered(no: u64, step: &Step, now: Millis) -> Run {
-        Run {
-            no,
-            state: RunState::Starting,
-            size: step.size,
-            fills: step.fills,
-            target: step.target,
-            image: step.image.clone(),
-            began: now,
-            sure: 0,
-            retry: 0,
-            ordered: true,
-            percent: 0,
-            moved: now,
-            gauge: 0,
-            pace: 100,
-            over: 0,
-        }
-    }
-}
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -1,10 +1,13 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use base::{Millis, Name, Size};
-use job::TaskId;
+use job::{Step, TaskId};
 use port::{Entry, Peer};
 
-use crate::learn::{Exposure, room};
+use crate::{
+    Run, RunState,
+    learn::{Exposure, room},
+};
 
 /// Drift of a worker's clock: it runs at least at this share of true speed.
 const SLOWEST_CLOCK: f64 = 0.98;
@@ -17,63 +20,6 @@
 /// Silence after which a worker gets no new work.
 const QUIET: Millis = 2_000;
 
-/// What is known of a run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RunState {
-    /// Ordered; no answer yet.
-    Starting,
-    /// The order got no answer; it may start later.
-    Doubt,
-    /// It runs.
-    Running,
-    /// Ordered to stop, or not wanted.
-    Stopping,
-}
-
-/// A run of a task on a worker.
-#[derive(Debug, Clone)]
-pub struct Run {
-    /// Number of the run.
-    pub no: u64,
-    /// State.
-    pub state: RunState,
-    /// Size taken on the worker.
-    pub size: Size,
-    /// Whether it lives on unused processor time.
-    pub fills: bool,
-    /// Whether it serves and has a target for its tail latency.
-    pub target: Millis,
-    /// Image.
-    pub image: Name,
-    /// When it was ordered.
-    pub began: Millis,
-    /// When the worker's knowledge of it was certain; 0 while it is not.
-    pub sure: Millis,
-    /// When to repeat an order that got no answer.
-    pub retry: Millis,
-    /// Whether an order about it is on its way.
-    pub ordered: bool,
-    /// Work done, in percent.
-    pub percent: u32,
-    /// When the percentage last changed.
-    pub moved: Millis,
-    /// Newest figure: tail latency, or processor use.
-    pub gauge: u64,
-    /// Share of its speed, in percent.
-    pub pace: u32,
-    /// Since when a serving task has been over its target; 0 while it is not.
-    pub over: Millis,
-}
-
-impl Run {
-    /// Makes the order to stop be sent again.
-    pub(crate) fn restop(&mut self, now: Millis) {
-        self.sure = 0;
-        self.ordered = false;
-        self.retry = now;
-    }
-}
-
 /// A worker as the leader sees it.
 #[derive(Debug, Clone)]
 pub struct Worker {
@@ -213,28 +159,18 @@
     pub(crate) fn late_starts(&mut self, now: Millis) -> Vec<(TaskId, Run)> {
         self.doubted.retain(|(task, ..)| !self.runs.contains_key(task));
         let run = |no| Run {
-            no,
             state: RunState::Stopping,
-            size: Size::ZERO,
-            fills: false,
-            target: 0,
-            image: "".into(),
-            began: 0,
-            sure: 0,
             retry: now,
             ordered: false,
-            percent: 0,
             moved: now,
-            gauge: 0,
-            pace: 100,
-            over: 0,
+            ..Run::ordered(no, &Step::default(), 0)
         };
         self.doubted.iter().map(|(task, no, _)| (task.clone(), run(*no))).collect()
     }
 
     /// Adds a run and takes its room.
     pub(crate) fn add(&mut self, task: TaskId, run: Run) {
-        let size = charged(&run);
+        let size = run.charged();
         self.used = self.used.plus(size);
         if run.fills {
             self.filled += run.size.cpu;
@@ -252,7 +188,7 @@
     /// Removes a run and gives its room back.
     pub(crate) fn remove(&mut self, task: &TaskId) -> Option<Run> {
         let run = self.runs.remove(task)?;
-        self.used = self.used.minus(charged(&run));
+        self.used = self.used.minus(run.charged());
         if run.fills {
             self.filled = self.filled.saturating_sub(run.size.cpu);
         }
@@ -281,8 +217,3 @@
         self.entry.size.minus(self.used)
     }
 }
-
-/// What a run takes of a worker's capacity.
-fn charged(run: &Run) -> Size {
-    if run.fills { Size { cpu: 0, ..run.size } } else { run.size }
-}
