The rings of imports are gone

A reader could begin nowhere.

Change: entry::platform is split by direction: `log` appends and reads, `list` follows the VM list, `follow` acts on what the log says. `servers` says that tables have changed through the node instead of calling `control`.

Ruled out: waking the control loop over a channel, which would have delayed copies to the backup by a turn of the loop; a function kept in the node is called at once, as before.

--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -7,10 +7,7 @@
 use plat::Kind;
 use serde::{Deserialize, Serialize};
 
-use crate::{
-    node::Node,
-    platform::{self, CONFIG},
-};
+use crate::{list, log::CONFIG, node::Node};
 
 /// Rounds of reading after which a publication counts as pending.
 const READS: usize = 25;
@@ -54,7 +51,7 @@
         state.config = config;
         state.configured = now().unix;
     }
-    platform::on_list(node);
+    list::on_list(node);
 }
 
 /// `POST /v1/config`: publishes a document as a whole and says what became of
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -8,8 +8,9 @@
 use wire::Method;
 
 use crate::{
+    log,
     node::{Node, Noted, State},
-    platform, servers,
+    servers,
 };
 
 /// Period at which an unchanged cell is looked at again.
@@ -46,7 +47,7 @@
                 refreshed = time.mono;
                 snapshot(&node);
                 let node = Rc::clone(&node);
-                spawn_local(async move { platform::refresh(&node).await });
+                spawn_local(async move { log::refresh(&node).await });
             }
             sleep(period).await;
         }
@@ -221,9 +222,9 @@
     let mut starts: BTreeMap<Name, Vec<Start>> = BTreeMap::new();
     for action in actions {
         match action {
-            Action::Claim(record) => platform::claim(node, record),
+            Action::Claim(record) => log::claim(node, record),
             Action::Journal(record) => node.state.borrow_mut().journal.push(record),
-            Action::Rebuild(epoch) => platform::rebuild(node, id.clone(), epoch),
+            Action::Rebuild(epoch) => log::rebuild(node, id.clone(), epoch),
             Action::Start { backend, start } => starts.entry(backend).or_default().push(start),
             Action::Stop { task, attempt, backend } => {
                 let stop = Stop { task, attempt, checkpoint: true };
--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -1,9 +1,8 @@
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use async_std::task::sleep;
-use base::{Millis, Name, event, now, rank};
-use cell::{Cell, JOB_KEY, Job, Op, Outcome, Peer, Role};
-use conf::Class;
+use base::{Millis, Name, event, now};
+use cell::{JOB_KEY, Job, Op, Outcome, Peer, Role};
 use http::{Answer, Ask, json};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
@@ -12,7 +11,7 @@
     msg::{Enter, EnterReply, Lookup, LookupReply, Submit, SubmitReply},
 };
 
-use crate::{control, keys, node::Node, report};
+use crate::{control, home::Home, keys, node::Node, report};
 
 /// Time within which a job's record is expected to be on the log.
 const ACCEPT_TIME: Millis = 1500;
@@ -48,20 +47,6 @@
     command: Name,
 }
 
-/// Where a job went, kept as the outcome of the key of its identifier.
-#[derive(Debug, Serialize, Deserialize)]
-struct Home {
-    cell: Name,
-    /// When it was chosen, in Unix milliseconds.
-    at: Millis,
-}
-
-impl Home {
-    fn parse(body: &[u8]) -> Option<Home> {
-        serde_json::from_slice(body).ok()
-    }
-}
-
 fn one() -> u32 {
     1
 }
@@ -167,32 +152,6 @@
     })
 }
 
-/// Chooses the cell of a new job, as the outcome of its key: a repetition gets
-/// the same one.
-pub(crate) fn choose_cell(node: &Node, enter: &Enter) -> Outcome {
-    let state = node.state.borrow();
-    let kind = enter.service.strip_prefix(JOB_KEY).and_then(|k| state.config.document.kind(k));
-    let size = kind.map(|k| k.size).unwrap_or_default();
-    let reserve = state.config.document.reserve();
-    let fits = |cell: &&Cell| cell.servers.values().any(|s| size.fits(s.size.minus(reserve)));
-    let with_servers = || state.cells.values().filter(|cell| !cell.servers.is_empty());
-    let urgent = kind.is_some_and(|k| k.class == Class::Urgent);
-    let best = |a: &&Cell, b: &&Cell| {
-        let weight = |c: &Cell| rank(&enter.key, &c.id);
-        weight(a).cmp(&weight(b))
-    };
-    let owned = |cell: &&Cell| !urgent || cell.record.is_some();
-    let chosen = with_servers().filter(fits).filter(owned).max_by(best);
-    match chosen.or_else(|| with_servers().max_by(best)) {
-        Some(cell) => {
-            let home = Home { cell: cell.id.clone(), at: now().unix };
-            let body = serde_json::to_vec(&home).unwrap_or_default();
-            Outcome::Answer { status: 200, body }
-        }
-        None => Outcome::NotRun,
-    }
-}
-
 /// Sends to the primary of a cell until it answers or the time is up. A
 /// submission is idempotent by the job's identifier.
 async fn to_cell(node: &Rc<Node>, submit: &Submit) -> SubmitReply {
@@ -344,12 +303,3 @@
         None => LookupReply::Unknown,
     }
 }
-
-/// Tasks of a job by phase.
-pub(crate) fn phases(cell: &Cell, job: &str) -> BTreeMap<String, u32> {
-    let mut counts = BTreeMap::new();
-    for task in cell.table.tasks.values().filter(|t| &*t.job == job) {
-        *counts.entry(report::phase(&task.phase).to_owned()).or_default() += 1;
-    }
-    counts
-}
--- a/crates/entry/src/keys.rs
+++ b/crates/entry/src/keys.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::{
-    control,
+    control, home,
     node::{KEY_SHARDS, Node},
     serve::{self, Request},
 };
@@ -144,7 +144,7 @@
 /// Sends the request and records what became of it.
 async fn run(node: Rc<Node>, enter: Enter, until: Millis) {
     let outcome = match enter.service.strip_prefix(JOB_KEY) {
-        Some(_) => crate::jobs::choose_cell(&node, &enter),
+        Some(_) => home::choose_cell(&node, &enter),
         None => {
             let request = Request {
                 id: format!("{}-{}", enter.cell, enter.key).into(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,10 +8,13 @@
 mod control;
 mod credit;
 mod error;
+mod follow;
+mod home;
 mod jobs;
 mod keys;
+mod list;
+mod log;
 mod node;
-mod platform;
 mod report;
 mod router;
 mod rpc;
@@ -63,7 +66,7 @@
 /// # Errors
 /// Where one of the sockets cannot be opened.
 pub async fn spawn(settings: Settings, mode: Mode) -> Result<Entry, Error> {
-    let node = Node::open(settings, mode);
+    let node = Node::open(settings, mode, control::pump);
     let handler = Rc::clone(&node);
     let peers = wire::bind(node.settings.rpc, move |method, body| {
         Box::pin(rpc::answer(Rc::clone(&handler), method, body))
@@ -74,9 +77,9 @@
         http::bind(node.settings.http, move |ask| api::answer(Rc::clone(&handler), ask)).await?;
     let loops = vec![
         control::spawn(&node),
-        platform::spawn_log(&node),
-        platform::spawn_list(&node),
-        platform::spawn_journal(&node),
+        follow::spawn(&node),
+        list::spawn(&node),
+        log::spawn_journal(&node),
         beat::spawn(&node),
         servers::spawn(&node),
         credit::spawn(&node),
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/log.rs
@@ -2,51 +2,27 @@
 
 use async_std::task::{JoinHandle, sleep, spawn_local};
 use base::{Name, event, now};
-use cell::{Cell, Claim, JournalBatch, JournalReader, JournalRecord, Record, ServerState};
-use conf::{Publication, Reader};
-use plat::{Batch, Kind, VmState};
+use cell::{Claim, JournalBatch, JournalReader, JournalRecord, Record};
+use conf::Publication;
+use plat::{Batch, Kind};
 use serde::{Serialize, de::DeserializeOwned};
 use serde_json::Value;
 
-use crate::{
-    control,
-    node::{KEY_SHARDS, Node, State},
-};
+use crate::node::Node;
 
-/// Streams of the log.
-const CLAIMS: &str = "claims";
+/// Stream of claims.
+pub(crate) const CLAIMS: &str = "claims";
 /// Stream of the operators' documents.
 pub(crate) const CONFIG: &str = "config";
 /// Period at which the log is read.
-const READ_PERIOD: Duration = Duration::from_millis(200);
-/// Period at which the VM list is read.
-const LIST_PERIOD: Duration = Duration::from_millis(1000);
+pub(crate) const READ_PERIOD: Duration = Duration::from_millis(200);
 /// Period at which durable changes are appended.
 const JOURNAL_PERIOD: Duration = Duration::from_millis(100);
 /// Pause after an append that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
-/// Reads claims and documents for ever.
-pub(crate) fn spawn_log(node: &Rc<Node>) -> JoinHandle<()> {
-    let node = Rc::clone(node);
-    spawn_local(async move {
-        let (mut claims, mut config) = (0, 0);
-        let mut reader = Reader::default();
-        loop {
-            let read = read_claims(&node, &mut claims).await;
-            let read = read && read_config(&node, &mut config, &mut reader).await;
-            if read {
-                let mut state = node.state.borrow_mut();
-                state.log_heard = Some(now().mono);
-                state.caught_up = true;
-            }
-            sleep(READ_PERIOD).await;
-        }
-    })
-}
-
 /// Reads a stream to its end; whether that succeeded.
-async fn read_stream(
+pub(crate) async fn read_stream(
     node: &Node,
     stream: &str,
     next: &mut u64,
@@ -72,71 +48,8 @@
     }
 }
 
-/// Reads the claims to their end; only there are they acted upon, since a
-/// process that has lagged may take a lost claim for a won one before.
-async fn read_claims(node: &Rc<Node>, next: &mut u64) -> bool {
-    let mut claims = Vec::new();
-    let read = read_stream(node, CLAIMS, next, |_, data| claims.extend(parse::<Claim>(data))).await;
-    let records = {
-        let mut state = node.state.borrow_mut();
-        for claim in &claims {
-            state.unread |= state.registry.fold(claim);
-        }
-        if !read || !std::mem::take(&mut state.unread) {
-            return read;
-        }
-        changed(node, &state)
-    };
-    for record in records {
-        on_record(node, &record);
-    }
-    read
-}
-
-/// Records of the own failure domain that its cells have not taken in.
-fn changed(node: &Node, state: &State) -> Vec<Record> {
-    let own = |r: &&Record| r.cell.split('.').next() == Some(&*node.settings.domain);
-    let new =
-        |r: &&Record| state.cells.get(&r.cell).is_none_or(|cell| cell.record.as_ref() != Some(*r));
-    state.registry.iter().filter(own).filter(new).cloned().collect()
-}
-
-fn on_record(node: &Rc<Node>, record: &Record) {
-    event!(
-        "owner",
-        cell = record.cell,
-        epoch = record.epoch,
-        primary = record.primary,
-        backup = record.backup.as_ref().map_or("none".to_owned(), ToString::to_string),
-    );
-    let mut state = node.state.borrow_mut();
-    let setup = node.setup();
-    let id = record.cell.clone();
-    state.cells.entry(id.clone()).or_insert_with(|| Cell::open(id.clone(), setup));
-    let actions = state.with_cell(&id, now(), |cell, world| cell.on_record(record, world));
-    state.dirty.insert(id.clone());
-    drop(state);
-    control::perform(node, &id, actions.unwrap_or_default());
-}
-
-async fn read_config(node: &Rc<Node>, next: &mut u64, reader: &mut Reader) -> bool {
-    let read = read_stream(node, CONFIG, next, |offset, data| {
-        if let Some(publication) = parse::<Publication>(data) {
-            reader.fold(offset, &publication);
-        }
-    })
-    .await;
-    if !read {
-        return false;
-    }
-    let newer = reader.end(&node.state.borrow().config);
-    if let Some(config) = newer {
-        crate::config::enforce(node, config);
-    }
-    true
-}
-
-fn parse<T: DeserializeOwned>(data: Value) -> Option<T> {
+/// Decodes a record; one that cannot be read is passed over.
+pub(crate) fn parse<T: DeserializeOwned>(data: Value) -> Option<T> {
     match serde_json::from_value(data) {
         Ok(value) => Some(value),
         Err(e) => {
@@ -278,69 +191,3 @@
     }
     state.dirty.insert(id.clone());
 }
-
-/// Reads the VM list for ever.
-pub(crate) fn spawn_list(node: &Rc<Node>) -> JoinHandle<()> {
-    let node = Rc::clone(node);
-    spawn_local(async move {
-        loop {
-            match node.vms.list().await {
-                Ok(list) => {
-                    if node.state.borrow_mut().members.on_list(&list) {
-                        on_list(&node);
-                    }
-                }
-                Err(e) => log::debug!("event=vm_list error={:?}", e.to_string()),
-            }
-            sleep(LIST_PERIOD).await;
-        }
-    })
-}
-
-/// Brings cells and targets up to date with the VM list.
-pub(crate) fn on_list(node: &Rc<Node>) {
-    let mut state = node.state.borrow_mut();
-    let domain = node.settings.domain.clone();
-    let vms: Vec<plat::Vm> = state.members.vms(Kind::Backend).cloned().collect();
-    let mut ids: BTreeSet<Name> = vms
-        .iter()
-        .filter(|vm| vm.domain == domain)
-        .map(|vm| Name::from(format!("{domain}.{}", vm.rack)))
-        .collect();
-    for shard in 0..KEY_SHARDS {
-        ids.insert(format!("{domain}.keys-{shard}").into());
-    }
-    for id in &ids {
-        let setup = node.setup();
-        state.cells.entry(id.clone()).or_insert_with(|| Cell::open(id.clone(), setup));
-    }
-    let rentals = state.config.document.rentals.clone();
-    let until = |vm: &plat::Vm| {
-        let planned = rentals.iter().find(|r| r.vm == vm.id).map(|r| r.until_ms);
-        planned.into_iter().chain(vm.until).min()
-    };
-    for cell in state.cells.values_mut() {
-        for server in cell.servers.values_mut() {
-            if !vms.iter().any(|vm| vm.id == server.id) {
-                server.state = ServerState::Gone;
-            }
-        }
-        for vm in vms.iter().filter(|vm| in_cell(vm, &cell.id)) {
-            let fresh = || cell::Server::open(vm.id.clone(), vm.http, vm.size);
-            let server = cell.servers.entry(vm.id.clone()).or_insert_with(fresh);
-            server.http = vm.http;
-            server.until = until(vm);
-            server.state = match vm.state {
-                VmState::Live => ServerState::Live,
-                VmState::Leaving => ServerState::Leaving,
-            };
-        }
-    }
-    let (domain, region) = (&node.settings.domain, &node.settings.region);
-    state.router.on_list(&vms, domain, region);
-    state.dirty.extend(ids);
-}
-
-fn in_cell(vm: &plat::Vm, cell: &str) -> bool {
-    cell.split_once('.').is_some_and(|(domain, rack)| *vm.domain == *domain && *vm.rack == *rack)
-}
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -39,6 +39,8 @@
     pub(crate) vms: plat::Vms,
     pub(crate) state: RefCell<State>,
     pub(crate) metrics: PrometheusHandle,
+    /// Brings what has changed to the backups.
+    replicate: fn(&Rc<Node>),
 }
 
 impl fmt::Debug for Node {
@@ -106,7 +108,7 @@
 }
 
 impl Node {
-    pub(crate) fn open(settings: Settings, mode: Mode) -> Rc<Node> {
+    pub(crate) fn open(settings: Settings, mode: Mode, replicate: fn(&Rc<Node>)) -> Rc<Node> {
         let started = now();
         let me = Peer { vm: settings.vm.clone(), incarnation: started.unix };
         let client = Client::open();
@@ -145,7 +147,12 @@
         let vms = plat::Vms::open(client.clone(), settings.platform.vms, limit);
         let metrics = recorder();
         let state = RefCell::new(state);
-        Rc::new(Node { settings, mode, me, http: client, log, vms, state, metrics })
+        Rc::new(Node { settings, mode, me, http: client, log, vms, state, metrics, replicate })
+    }
+
+    /// Says that tables have changed of which the backups are to hear.
+    pub(crate) fn changed(self: &Rc<Node>) {
+        (self.replicate)(self);
     }
 
     /// Client of a backend server's control interface.
--- a/crates/entry/src/report.rs
+++ b/crates/entry/src/report.rs
@@ -5,10 +5,7 @@
 use plat::Kind;
 use serde::Serialize;
 
-use crate::{
-    jobs,
-    node::{Node, Noted, State},
-};
+use crate::node::{Node, Noted, State};
 
 /// Decisions shown in the status.
 const MAX_SHOWN: usize = 50;
@@ -231,7 +228,7 @@
             team: &job.team,
             kind: &job.kind,
             tasks: job.tasks,
-            phases: jobs::phases(cell, id),
+            phases: phases(cell, id),
         };
         return serde_json::to_string(&report).ok();
     }
@@ -273,3 +270,12 @@
         }
     }
 }
+
+/// Tasks of a job by phase.
+fn phases(cell: &Cell, job: &str) -> BTreeMap<String, u32> {
+    let mut counts = BTreeMap::new();
+    for task in cell.table.tasks.values().filter(|t| &*t.job == job) {
+        *counts.entry(phase(&task.phase).to_owned()).or_default() += 1;
+    }
+    counts
+}
--- a/crates/entry/src/servers.rs
+++ b/crates/entry/src/servers.rs
@@ -7,10 +7,7 @@
     Acknowledge, Listing, RefuseReason, Renew, RunState, Start, StartAnswer, Stop, TaskReport,
 };
 
-use crate::{
-    control,
-    node::{Node, State},
-};
+use crate::node::{Node, State};
 
 /// Time within which a backend server must answer a control call.
 pub(crate) const CALL_LIMIT: Duration = Duration::from_millis(800);
@@ -97,7 +94,7 @@
         settled
     };
     carry_out(node, id, backend, settled).await;
-    control::pump(node);
+    node.changed();
 }
 
 async fn carry_out(node: &Rc<Node>, id: &Name, backend: &Name, settled: Settled) {
@@ -186,7 +183,7 @@
             }
             state.dirty.insert(id.clone());
         }
-        control::pump(&node);
+        node.changed();
     });
 }
 
@@ -231,7 +228,7 @@
             }
             state.dirty.insert(id.clone());
         }
-        control::pump(&node);
+        node.changed();
     });
 }
 
--- a/crates/node/src/beats.rs
+++ b/crates/node/src/beats.rs
@@ -2,9 +2,9 @@
 
 use async_std::task::{JoinHandle, sleep, spawn_local};
 use base::{Millis, Now, event, now};
-use elect::{Beat, Purpose, Vm};
+use elect::{Beat, Purpose};
 
-use crate::{claim, manifest, state::Node};
+use crate::{claim, manifest, state::Node, tell::send};
 
 /// Period of the ticker.
 const TICK: Duration = Duration::from_millis(50);
@@ -71,14 +71,6 @@
     }
 }
 
-async fn send(node: &Node, to: &Vm, beat: &Beat) {
-    // The type holds nothing that the encoding lacks, so that it cannot fail.
-    let bytes = postcard::to_stdvec(beat).unwrap_or_default();
-    if let Err(e) = node.socket.send_to(&bytes, to.addr).await {
-        log::debug!("event=beat_unsent to={} reason={e:?}", to.name);
-    }
-}
-
 #[derive(Debug, Default)]
 struct Times {
     beat: Millis,
@@ -140,20 +132,6 @@
     }
 }
 
-/// Tells the other VMs of the failure domain of a new manifest at once.
-pub(crate) fn tell_neighbours(node: &Rc<Node>) {
-    let (beat, targets) = {
-        let shared = node.shared.borrow();
-        (shared.elect.beat(Purpose::Tell, now().mono), shared.elect.neighbours())
-    };
-    let node = Rc::clone(node);
-    spawn_local(async move {
-        for vm in targets {
-            send(&node, &vm, &beat).await;
-        }
-    });
-}
-
 async fn tell(node: &Rc<Node>, times: &mut Times, now: Now) {
     let (beat, targets) = {
         let mut shared = node.shared.borrow_mut();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 mod shutdown;
 mod state;
 mod store;
+mod tell;
 mod workers;
 
 use std::{net::SocketAddr, rc::Rc};
--- a/crates/node/src/manifest.rs
+++ b/crates/node/src/manifest.rs
@@ -6,7 +6,7 @@
 use port::{Item, StoreFault, Topic};
 use wire::Method;
 
-use crate::{beats, state::Node};
+use crate::{state::Node, tell::tell_neighbours};
 
 /// Time that a read waits for news.
 const WAIT: Millis = 1_000;
@@ -111,7 +111,7 @@
         match (node.platform.manifest)(&item.value) {
             Some(manifest) => {
                 node.adopt(manifest, "store");
-                beats::tell_neighbours(node);
+                tell_neighbours(node);
             }
             None => log::error!("event=manifest_unreadable bytes={}", item.value.len()),
         }
