A leader whose processor turns slow gives way

Cause: a VM leads for as long as it reaches the store and others hear it. When its processor turns slow (node_slow), it goes on: ticks come 137 to 410 ms late, calls of other VMs run into their time limit, callers are left in doubt and no task starts in time.

Change: a process smooths the lateness of its ticks; its heartbeats offer the power that is left (half at 40 ms of lag, a third at 80).

Test first: a_leader_that_lags_gives_way_to_a_vm_with_twice_its_power.

--- a/crates/elect/src/elect.rs
+++ b/crates/elect/src/elect.rs
@@ -26,6 +26,12 @@
 const LOST_WAIT: Millis = 400;
 /// Grain in which delays to the store are compared, in milliseconds.
 const DELAY_GRAIN: u32 = 6;
+/// Lateness of ticks, in milliseconds, that idle processes show, too; one as late
+/// again has half of its power left.
+const LAG_IDLE: u32 = 40;
+/// Time for which a leader that lags goes on, so that leadership does not wander
+/// where all are busy.
+const OUTPACED_AFTER: Millis = 5_000;
 
 /// The VM that leads.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -56,12 +62,16 @@
     quiet: Millis,
     asked: Millis,
     summoned: bool,
+    /// When this VM took leadership over.
+    led: Millis,
     /// Whether this VM leads.
     pub leading: bool,
     /// Whether the store answers this VM.
     pub store: bool,
     /// Milliseconds that the store takes to answer.
     pub delay: u32,
+    /// Milliseconds by which this process comes late to its ticks, smoothed.
+    pub lag: u32,
     /// Version of the manifest that this VM has.
     pub version: u64,
     /// Whether this VM is shutting down.
@@ -83,9 +93,11 @@
             quiet: 0,
             asked: 0,
             summoned: false,
+            led: 0,
             leading: false,
             store: false,
             delay: 0,
+            lag: 0,
             version: 0,
             leaving: false,
         }
@@ -143,6 +155,7 @@
     pub fn lead(&mut self, epoch: u64, now: Millis) {
         self.epoch = epoch;
         self.leader = Some(Leader { epoch, vm: self.me.clone() });
+        self.led = now;
         self.leading = true;
         self.heard = now;
         self.summoned = false;
@@ -182,7 +195,7 @@
 
     /// Number of better candidates.
     fn rank(&self, now: Millis) -> Millis {
-        let mine = score(self.power, self.delay, &self.me.name);
+        let mine = score(self.power_now(), self.delay, &self.me.name);
         self.candidates(now).filter(|beat| beat_score(beat) < mine).count() as Millis
     }
 
@@ -198,6 +211,23 @@
         self.candidates(now).min_by_key(|beat| beat_score(beat)).map(|beat| beat.from.clone())
     }
 
+    /// Processor power that this VM has left: a process that lags has less than its
+    /// VM was given.
+    fn power_now(&self) -> u32 {
+        match self.lag {
+            0..LAG_IDLE => self.power,
+            lag => self.power * LAG_IDLE / (LAG_IDLE + lag),
+        }
+    }
+
+    /// Whether this VM has led for a while and lags, and the one that would lead
+    /// after it has at least twice its power.
+    pub fn outpaced(&self, now: Millis) -> bool {
+        let long = self.leading && now >= self.led + OUTPACED_AFTER;
+        let best = self.candidates(now).map(|beat| beat.power).max().unwrap_or(0);
+        long && self.lag >= LAG_IDLE && best >= 2 * self.power_now()
+    }
+
     /// Where to send what the leader must decide: the leader, or a VM that
     /// hears it when this one does not.
     pub fn path(&self, now: Millis) -> Option<Vm> {
@@ -271,7 +301,7 @@
             heard: now.saturating_sub(self.heard),
             store: self.store,
             delay: self.delay,
-            power: self.power,
+            power: self.power_now(),
             version: self.version,
             leaving: self.leaving,
             others,
--- a/crates/elect/tests/claim.rs
+++ b/crates/elect/tests/claim.rs
@@ -121,6 +121,49 @@
     assert!(elect.should_claim(12_000));
 }
 
+#[test]
+fn a_leader_that_lags_gives_way_to_a_vm_with_twice_its_power() {
+    struct Case {
+        name: &'static str,
+        lag: u32,
+        /// Powers of the others.
+        others: &'static [u32],
+        /// Time since it began to lead.
+        led: Millis,
+        outpaced: bool,
+    }
+    let cases = [
+        Case { name: "on time", lag: 30, others: &[500], led: 6_000, outpaced: false },
+        Case { name: "late", lag: 130, others: &[100, 250], led: 6_000, outpaced: true },
+        Case {
+            name: "the others are weaker",
+            lag: 130,
+            others: &[100],
+            led: 6_000,
+            outpaced: false,
+        },
+        Case {
+            name: "leads since just now",
+            lag: 130,
+            others: &[250],
+            led: 4_000,
+            outpaced: false,
+        },
+        Case { name: "no other", lag: 130, others: &[], led: 6_000, outpaced: false },
+    ];
+    for case in cases {
+        let mut elect = Elect::open(vm("a"), 250, 0);
+        elect.store = true;
+        elect.lead(5, 10_000 - case.led);
+        for (at, power) in case.others.iter().enumerate() {
+            let from = format!("c{at}");
+            elect.on_beat(Beat { power: *power, ..beat(&from, Some("a"), 0) }, 9_900);
+        }
+        elect.lag = case.lag;
+        assert_eq!(elect.outpaced(10_000), case.outpaced, "{}", case.name);
+    }
+}
+
 #[test]
 fn an_older_epoch_changes_nothing() {
     let mut elect = follower(250);
--- a/crates/lead/src/search.rs
+++ b/crates/lead/src/search.rs
@@ -107,7 +107,7 @@
         while let Some((_, name)) = places.take_best() {
             let Some(worker) = self.workers.get(&name) else { continue };
             let Some(score) = self.check(id, &need, &places.harms, worker, now) else { continue };
-            let best = places.list.iter().all(|(other, _)| *other <= score);
+            let best = places.list.iter().all(|(other, _)| other.total_cmp(&score).is_le());
             places.list.push((score, name.clone()));
             if best {
                 return Some(name);
--- a/crates/node/src/beats.rs
+++ b/crates/node/src/beats.rs
@@ -110,6 +110,7 @@
     if times.before > 0 {
         times.lag += LAG_WEIGHT * (late as f64 - times.lag);
     }
+    node.shared.borrow_mut().elect.lag = times.lag as u32;
     if times.lag > LAGGING && now.mono >= times.lagged + LAG_PERIOD {
         times.lagged = now.mono;
         event!("lagging", ms = times.lag as Millis, leads = node.shared.borrow().lead.is_some());
@@ -136,7 +137,8 @@
     let order = {
         let shared = node.shared.borrow();
         let away = shared.away > 0 && now.mono > shared.away + STORE_AWAY;
-        let wanted = shared.lead.is_some() && (away || shared.elect.leaving);
+        let unfit = away || shared.elect.leaving || shared.elect.outpaced(now.mono);
+        let wanted = shared.lead.is_some() && unfit;
         if !wanted || now.mono < times.summon + SUMMON_PERIOD {
             return;
         }
