Lines and measures that tell why a task waits

Cause: the logs of SHORT could not tell scattered room from used-up room, an unfair order or bad tasks: no line had the size of what waits, the largest free piece or who goes first.

Change: event=waits, once a second for the 12 steps that have waited longest, with size, wait, reason, largest piece, whole room and who is ahead; event=load has the free pieces of half and nine tenths of the workers and the largest; start lines have the size and the wait. Gauges waiting_tasks, longest_wait_ms, free_cpu, largest_piece, histogram wait_ms. What waits is counted in one pass by job instead of three.

Ruled out: a line for each task that waits (up to some thousand a second).

--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -89,6 +89,10 @@
     pub(crate) searched: Name,
     /// When the load was last reported.
     pub(crate) reported: Millis,
+    /// Since when tasks of each step have waited.
+    pub(crate) waits: BTreeMap<StepId, Millis>,
+    /// When that was last noted.
+    pub(crate) waits_noted: Millis,
     watched: Millis,
     runs: u64,
     kept: Millis,
@@ -116,6 +120,8 @@
             looked: now.mono,
             searched: "".into(),
             reported: 0,
+            waits: BTreeMap::new(),
+            waits_noted: 0,
             watched: 0,
             runs: 0,
             kept: now.mono,
@@ -331,6 +337,7 @@
             self.unstick(now);
         }
         self.place(now);
+        self.note_waits(now);
         self.report_load(now);
     }
 }
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -18,12 +18,15 @@
 mod run;
 mod search;
 mod stuck;
+mod waits;
 mod watch;
 mod worker;
 
 pub use crate::{
     journal::{Batch, OWNER},
     lead::{Bounds, Lead, Order, Submitted},
+    load::clear_load,
     run::{Run, RunState},
+    waits::{Wait, Why},
     worker::Worker,
 };
--- a/crates/lead/src/load.rs
+++ b/crates/lead/src/load.rs
@@ -37,6 +37,68 @@
     }
 }
 
+/// What waits of each kind.
+#[derive(Debug, Default)]
+struct Waiting {
+    serve: usize,
+    fill: usize,
+    plain: usize,
+    /// Processors that the largest plain task asks for.
+    largest: u64,
+}
+
+impl Waiting {
+    fn add(&mut self, step: &Step) {
+        match Kind::of(step) {
+            Kind::Serve => self.serve += 1,
+            Kind::Fill => self.fill += 1,
+            Kind::Plain => {
+                self.plain += 1;
+                self.largest = self.largest.max(step.size.cpu);
+            }
+        }
+    }
+
+    fn count(&self, kind: Kind) -> usize {
+        match kind {
+            Kind::Serve => self.serve,
+            Kind::Fill => self.fill,
+            Kind::Plain => self.plain,
+        }
+    }
+}
+
+/// What is taken and free on the workers that may be given work.
+#[derive(Debug, Default)]
+struct Room {
+    workers: usize,
+    cpu: u64,
+    used: u64,
+    filled: u64,
+    /// Workers on which a task that serves misses its target.
+    missing: u32,
+    /// Free processors of each.
+    pieces: Vec<u64>,
+}
+
+impl Room {
+    /// The free piece that a share of the workers do not exceed.
+    fn piece(&self, share: f64) -> u64 {
+        let at = self.pieces.len().saturating_sub(1) as f64 * share;
+        self.pieces.get(at as usize).copied().unwrap_or(0)
+    }
+}
+
+/// Sets the measures of a leader's load to zero, once this process leads no longer.
+pub fn clear_load() {
+    for kind in [Kind::Serve, Kind::Fill, Kind::Plain] {
+        metrics::gauge!("waiting_tasks", "kind" => kind.word()).set(0.0);
+    }
+    metrics::gauge!("free_cpu").set(0.0);
+    metrics::gauge!("largest_piece").set(0.0);
+    metrics::gauge!("longest_wait_ms").set(0.0);
+}
+
 impl Lead {
     /// Logs and measures once a second how much waits and how much is taken.
     pub(crate) fn report_load(&mut self, now: Now) {
@@ -44,40 +106,57 @@
             return;
         }
         self.reported = now.mono;
-        let stored = self.stored();
-        let usable = self.workers.values().filter(|w| w.usable(stored, now.mono));
-        let (mut workers, mut cpu, mut used, mut filled, mut missing) = (0, 0, 0, 0, 0);
-        for worker in usable {
-            workers += 1;
-            cpu += worker.entry.size.cpu;
-            used += worker.used.cpu;
-            filled += worker.filled;
-            missing += u32::from(worker.missing);
+        let (room, waiting) = (self.room(now), self.count_waiting());
+        let (free, largest) = (room.cpu.saturating_sub(room.used), room.piece(1.0));
+        let oldest = self.waits.values().map(|since| now.mono.saturating_sub(*since)).max();
+        for kind in [Kind::Serve, Kind::Fill, Kind::Plain] {
+            let count = waiting.count(kind) as f64;
+            metrics::gauge!("waiting_tasks", "kind" => kind.word()).set(count);
         }
-        let waits = |kind| self.waits(kind);
+        metrics::gauge!("free_cpu").set(free as f64);
+        metrics::gauge!("largest_piece").set(largest as f64);
+        metrics::gauge!("longest_wait_ms").set(oldest.unwrap_or(0) as f64);
         event!(
             "load",
-            workers = workers,
+            workers = room.workers,
             known = self.workers.len(),
-            cpu = cpu,
-            used = used,
-            filled = filled,
-            missing = missing,
-            wait_serve = waits(Kind::Serve),
-            wait_plain = waits(Kind::Plain),
-            wait_fill = waits(Kind::Fill),
+            cpu = room.cpu,
+            used = room.used,
+            filled = room.filled,
+            missing = room.missing,
+            piece_half = room.piece(0.5),
+            piece_tenth = room.piece(0.9),
+            piece_most = largest,
+            wait_serve = waiting.serve,
+            wait_plain = waiting.plain,
+            wait_fill = waiting.fill,
+            wait_cpu = waiting.largest,
             jobs_waiting = self.waiting.len()
         );
+        self.report_waits(now);
     }
 
-    /// Tasks of a kind that wait.
-    fn waits(&self, kind: Kind) -> usize {
-        let tasks = self.waiting.values().flatten();
-        tasks
-            .filter(|id| {
-                let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
-                step.is_some_and(|step| Kind::of(step) == kind)
-            })
-            .count()
+    fn room(&self, now: Now) -> Room {
+        let stored = self.stored();
+        let mut room = Room::default();
+        for worker in self.workers.values().filter(|w| w.usable(stored, now.mono)) {
+            room.workers += 1;
+            room.cpu += worker.entry.size.cpu;
+            room.used += worker.used.cpu;
+            room.filled += worker.filled;
+            room.missing += u32::from(worker.missing);
+            room.pieces.push(worker.free().cpu);
+        }
+        room.pieces.sort_unstable();
+        room
+    }
+
+    fn count_waiting(&self) -> Waiting {
+        let mut waiting = Waiting::default();
+        for (id, tasks) in &self.waiting {
+            let Some(job) = self.jobs.get(id) else { continue };
+            tasks.iter().filter_map(|task| job.step(task)).for_each(|step| waiting.add(step));
+        }
+        waiting
     }
 }
--- a/crates/lead/src/place.rs
+++ b/crates/lead/src/place.rs
@@ -112,6 +112,7 @@
     pub(crate) fn start_run(&mut self, id: &TaskId, worker: &Name, no: u64, saved: Name, now: Now) {
         let (token, lease) = (self.epoch, self.bounds.lease);
         let ticket = self.ticket(id, worker, now).unwrap_or_default();
+        let waited = self.waited(&id.step_id(), now);
         let Some(job) = self.jobs.get_mut(&id.job) else { return };
         let Some(step) = job.step(id).cloned() else { return };
         let text = job.spec.text.clone();
@@ -126,6 +127,7 @@
         entry.add(id.clone(), Run::ordered(no, &step, now.mono));
         let start = Start { task: id.clone(), run: no, text, deadline, token, saved, ticket };
         self.orders.push(Order::Start(entry.peer(), start));
+        metrics::histogram!("wait_ms", "kind" => Kind::of(&step).word()).record(waited as f64);
         event!(
             "start",
             task = id,
@@ -135,6 +137,8 @@
             free_cpu = entry.free().cpu,
             filled = entry.filled,
             image = step.image,
+            cpu = step.size.cpu,
+            waited = waited,
             kind = Kind::of(&step).word(),
             age = now.mono.saturating_sub(entry.answered)
         );
--- a/crates/lead/src/search.rs
+++ b/crates/lead/src/search.rs
@@ -18,11 +18,11 @@
 const MAX_CANDIDATES: usize = 96;
 
 /// What a place is sought for.
-struct Need<'a> {
-    step: &'a Step,
+pub(crate) struct Need<'a> {
+    pub(crate) step: &'a Step,
     service: &'a Name,
     /// Whether the policy of the queue decides, too.
-    advised: bool,
+    pub(crate) advised: bool,
     avoid: Option<&'a Name>,
     /// Workers that have a task of the step already, as often as they have one,
     /// where that is limited.
@@ -138,7 +138,7 @@
     }
 
     /// What a place for a task must have.
-    fn need(&self, id: &TaskId) -> Option<Need<'_>> {
+    pub(crate) fn need(&self, id: &TaskId) -> Option<Need<'_>> {
         let job = self.jobs.get(&id.job)?;
         let step = job.step(id)?;
         let siblings = &job.open.get(&id.occ)?.steps[id.step as usize].tasks;
@@ -193,24 +193,33 @@
 
 impl Need<'_> {
     /// Whether the task may run on a worker and fits.
-    fn allowed(&self, worker: &Worker) -> bool {
+    pub(crate) fn allowed(&self, worker: &Worker) -> bool {
         let step = self.step;
-        if worker.entry.service != *self.service {
-            return false;
-        }
-        if step.requires.as_ref().is_some_and(|label| !worker.entry.labels.contains(label)) {
+        if !self.suits(worker) {
             return false;
         }
         let here = self.beside.iter().filter(|id| ***id == worker.entry.id).count();
         if step.per_worker > 0 && here >= step.per_worker as usize {
             return false;
         }
-        if step.fills {
-            let room = worker.fill_room();
-            let memory = Size { cpu: 0, ..step.size };
-            return memory.fits(worker.free()) && worker.filled + step.size.cpu <= room;
+        self.has_room(worker)
+    }
+
+    /// Whether a worker is of the service and has the label.
+    pub(crate) fn suits(&self, worker: &Worker) -> bool {
+        let label = self.step.requires.as_ref();
+        worker.entry.service == *self.service
+            && label.is_none_or(|label| worker.entry.labels.contains(label))
+    }
+
+    /// Whether the task fits into what is free on a worker.
+    pub(crate) fn has_room(&self, worker: &Worker) -> bool {
+        let size = self.step.size;
+        if self.step.fills {
+            let memory = Size { cpu: 0, ..size };
+            return memory.fits(worker.free()) && size.cpu <= worker.piece(true);
         }
-        step.size.fits(worker.free())
+        size.fits(worker.free())
     }
 }
 
@@ -222,6 +231,11 @@
         unused + (self.serving as f64 * SERVING_IDLE) as u64
     }
 
+    /// Processors that are free for a task that fills, or for any other.
+    pub(crate) fn piece(&self, fills: bool) -> u64 {
+        if fills { self.fill_room().saturating_sub(self.filled) } else { self.free().cpu }
+    }
+
     /// How well an image that serves fits the company on it: images that are alike
     /// stand together, so that what fills beside them can be chosen for them.
     fn likeness(&self, image: &Name) -> f64 {
--- /dev/null
+++ b/crates/lead/src/waits.rs
@@ -0,0 +1,186 @@
+use std::collections::BTreeMap;
+
+use base::{Millis, Name, Now, Size, event};
+use job::{Job, StepId, TaskId};
+
+use crate::{Lead, load::Kind};
+
+/// Time between two looks at what waits.
+const PERIOD: Millis = 200;
+/// Wait from which a step is reported.
+const LONG: Millis = 1_000;
+/// Steps reported at a time, those that have waited longest.
+const MAX_LINES: usize = 12;
+
+/// Why the tasks of a step wait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Why {
+    /// No usable worker is of the service and has the label.
+    NoWorker,
+    /// No worker is large enough, however idle.
+    TooLarge,
+    /// Every worker with room has as many tasks of the step as it may have.
+    Apart,
+    /// Processors would do, memory or accelerators do not.
+    Memory,
+    /// The free pieces would do together; none is large enough.
+    Scattered,
+    /// What is free does not suffice for what waits.
+    Full,
+    /// There is a place, but a task that serves would miss its target.
+    Harm,
+    /// There is a place, but the policy of the queue has not allowed it yet.
+    Ticket,
+    /// There is a place; others go first.
+    Order,
+}
+
+impl Why {
+    fn word(self) -> &'static str {
+        match self {
+            Why::NoWorker => "no_worker",
+            Why::TooLarge => "too_large",
+            Why::Apart => "apart",
+            Why::Memory => "memory",
+            Why::Scattered => "scattered",
+            Why::Full => "full",
+            Why::Harm => "harm",
+            Why::Ticket => "ticket",
+            Why::Order => "order",
+        }
+    }
+}
+
+/// Tasks of a step that wait, and what keeps them.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Wait {
+    /// Tasks that wait.
+    pub tasks: usize,
+    /// Size of one.
+    pub size: Size,
+    /// Time since the first of them was queued.
+    pub waited: Millis,
+    /// Reason.
+    pub why: Why,
+    /// Largest free piece of a worker that they may run on, in thousandths of a core.
+    pub largest: u64,
+    /// All free pieces of such workers, in thousandths of a core.
+    pub room: u64,
+}
+
+impl Lead {
+    /// Notes since when the tasks of each step have waited.
+    pub(crate) fn note_waits(&mut self, now: Now) {
+        if now.mono < self.waits_noted + PERIOD {
+            return;
+        }
+        self.waits_noted = now.mono;
+        let mut waits = BTreeMap::new();
+        for tasks in self.waiting.values() {
+            let mut last = None;
+            for task in tasks.iter() {
+                let step = (task.occ, task.step);
+                if last != Some(step) {
+                    last = Some(step);
+                    let id = task.step_id();
+                    let since = self.waits.get(&id).copied().unwrap_or(now.mono);
+                    waits.insert(id, since);
+                }
+            }
+        }
+        self.waits = waits;
+    }
+
+    /// Time for which tasks of a step have waited.
+    pub(crate) fn waited(&self, id: &StepId, now: Now) -> Millis {
+        self.waits.get(id).map_or(0, |since| now.mono.saturating_sub(*since))
+    }
+
+    /// Why the tasks of a step wait; `None` where none does.
+    pub fn wait(&self, id: &StepId, now: Now) -> Option<Wait> {
+        let tasks = self.waiting.get(&id.job)?;
+        let of_step = |task: &&TaskId| (task.occ, task.step) == (id.occ, id.step);
+        let first = tasks.iter().find(of_step)?;
+        let tasks = tasks.iter().filter(of_step).count();
+        let step = self.jobs.get(&id.job)?.step(first)?;
+        let (size, waited) = (step.size, self.waited(id, now));
+        let (why, largest, room) = self.keeps(first, tasks, now)?;
+        Some(Wait { tasks, size, waited, why, largest, room })
+    }
+
+    /// What keeps a task from starting, the largest piece and the whole room of
+    /// the workers that it may run on.
+    fn keeps(&self, id: &TaskId, tasks: usize, now: Now) -> Option<(Why, u64, u64)> {
+        let need = self.need(id)?;
+        let (size, stored) = (need.step.size, self.stored());
+        let able = self.workers.values().filter(|w| w.usable(stored, now.mono) && need.suits(w));
+        let (mut some, mut whole, mut roomy, mut wide, mut places) =
+            (false, false, false, false, 0);
+        let (mut largest, mut room) = (0, 0);
+        for worker in able {
+            some = true;
+            whole |= size.fits(worker.entry.size);
+            let piece = worker.piece(need.step.fills);
+            largest = largest.max(piece);
+            room += piece;
+            wide |= size.cpu <= piece;
+            roomy |= need.has_room(worker);
+            places += usize::from(need.allowed(worker));
+        }
+        let why = match () {
+            () if !some => Why::NoWorker,
+            () if !whole => Why::TooLarge,
+            () if places > 0 && need.step.fills => Why::Harm,
+            () if places > 0 && need.advised => Why::Ticket,
+            () if places > 0 => Why::Order,
+            () if roomy => Why::Apart,
+            () if wide => Why::Memory,
+            () if room >= size.cpu * tasks as u64 => Why::Scattered,
+            () => Why::Full,
+        };
+        Some((why, largest, room))
+    }
+
+    /// Logs why the steps wait that have waited longest.
+    pub(crate) fn report_waits(&self, now: Now) {
+        let mut long: Vec<(Millis, &StepId)> =
+            self.waits.iter().map(|(id, since)| (*since, id)).collect();
+        long.retain(|(since, _)| now.mono >= since + LONG);
+        if long.is_empty() {
+            return;
+        }
+        long.sort_unstable();
+        let steps = long.len();
+        let order = self.order(now);
+        for (_, id) in long.into_iter().take(MAX_LINES) {
+            let (Some(wait), Some(job)) = (self.wait(id, now), self.jobs.get(&id.job)) else {
+                continue;
+            };
+            self.report_wait(id, job, &wait, &order, steps);
+        }
+    }
+
+    fn report_wait(&self, id: &StepId, job: &Job, wait: &Wait, order: &[Name], steps: usize) {
+        let ahead = order.iter().position(|other| *other == id.job).unwrap_or(0);
+        let first = order.first().cloned().unwrap_or_default();
+        let kind = job.spec.steps.get(id.step as usize).map_or("", |step| Kind::of(step).word());
+        event!(
+            "waits",
+            job = id.job,
+            occ = id.occ,
+            step = id.step,
+            kind = kind,
+            queue = job.queue.name,
+            tasks = wait.tasks,
+            cpu = wait.size.cpu,
+            memory = wait.size.memory,
+            ms = wait.waited,
+            why = wait.why.word(),
+            largest = wait.largest,
+            room = wait.room,
+            ahead = ahead,
+            first = first,
+            steps = steps
+        );
+    }
+}
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -167,6 +167,7 @@
         let Some(lead) = shared.lead.take() else { return };
         event!("deposed", epoch = lead.epoch, why = why);
         metrics::counter!("deposed").increment(1);
+        lead::clear_load();
         shared.elect.yield_lead(now().mono);
         shared.appending = 0;
         shared.away = 0;
