--- a/crates/lead/tests/schedules.rs
+++ b/crates/lead/tests/schedules.rs
@@ -2,6 +2,7 @@
 //! runs again after its end was acknowledged, no worker is overcommitted, and all
 //! jobs end once the faults cease.
 
+#[allow(dead_code)]
 mod world;
 
 use world::{Faults, World, spec, step};
--- a/crates/lead/tests/world/mod.rs
+++ b/crates/lead/tests/world/mod.rs
@@ -102,7 +102,12 @@
 
 impl World {
     pub(crate) fn open(seed: u64, workers: usize, faults: Faults) -> World {
-        let workers = (0..workers).map(|n| FakeWorker::open(n, "s"));
+        World::open_sized(seed, &vec![4_000; workers], faults)
+    }
+
+    /// A world whose workers have so many thousandths of a core each.
+    pub(crate) fn open_sized(seed: u64, sizes: &[u64], faults: Faults) -> World {
+        let workers = sizes.iter().enumerate().map(|(n, cpu)| FakeWorker::open(n, "s", *cpu));
         let mut world = World {
             now: 1_000,
             lead: None,
@@ -137,6 +142,15 @@
         }
     }
 
+    /// Cancels a job.
+    pub(crate) fn cancel(&mut self, id: &str) {
+        let time = self.time();
+        self.specs.remove(id);
+        if let Some(lead) = &mut self.lead {
+            lead.cancel(&id.into(), time);
+        }
+    }
+
     /// Lets time pass.
     pub(crate) fn run(&mut self, ms: Millis) {
         let end = self.now + ms;
@@ -337,7 +351,7 @@
                 }
                 self.check_start(&id, &start);
                 let fails = self.chance(self.faults.fail);
-                let size = self.specs[&start.task.job].steps[start.task.step as usize].clone();
+                let size = self.step_of(&start.task);
                 let (task, run, token) = (start.task.clone(), start.run, start.token);
                 let worker = self.workers.get_mut(&id).unwrap();
                 let answer = worker.start(start, &size, fails, self.now);
@@ -455,7 +469,7 @@
         if self.noted.contains_key(task) {
             self.broken.push(format!("{} started {task} after its noted end at {}", id, self.now));
         }
-        let cpu = self.specs[&task.job].steps[task.step as usize].size.cpu;
+        let cpu = self.step_of(task).size.cpu;
         let taken: u64 = self.workers[id].runs.values().map(|run| run.cpu).sum();
         if taken + cpu > self.workers[id].entry().size.cpu {
             self.broken.push(format!("{id} is overcommitted by {task} at {}", self.now));
@@ -468,6 +482,13 @@
         }
     }
 
+    /// The step of a task of a job that is known to the leader.
+    fn step_of(&self, task: &TaskId) -> Step {
+        let job = self.lead.as_ref().and_then(|lead| lead.jobs.get(&task.job));
+        let spec = job.map(|job| &job.spec).or(self.specs.get(&task.job));
+        spec.expect("a job that was submitted").steps[task.step as usize].clone()
+    }
+
     /// What is not done.
     pub(crate) fn report(&self) -> String {
         let Some(lead) = &self.lead else { return "nobody leads".to_owned() };
--- a/crates/lead/tests/world/worker.rs
+++ b/crates/lead/tests/world/worker.rs
@@ -6,6 +6,8 @@
 
 /// Longest lease that a worker grants.
 const HOLD_MOST: Millis = 10_000;
+/// Time after which a task that lasts is at work.
+const STARTUP: Millis = 200;
 /// Offset of a worker's clock.
 const CLOCK: Millis = 77_000;
 
@@ -14,11 +16,19 @@
 pub(crate) struct FakeRun {
     pub(crate) run: u64,
     pub(crate) cpu: u64,
+    began: Millis,
     ends: Millis,
     fails: bool,
     lasts: bool,
 }
 
+impl FakeRun {
+    /// Whether it has begun to work.
+    pub(crate) fn works(&self, now: Millis) -> bool {
+        now >= self.began + STARTUP
+    }
+}
+
 /// A worker that keeps to the platform's interface.
 #[derive(Debug, Clone)]
 pub(crate) struct FakeWorker {
@@ -30,6 +40,7 @@
     /// Until when it is down.
     pub(crate) dark: Millis,
     service: Name,
+    size: Size,
     born: Millis,
     deadline: Millis,
     finished: Vec<Ended>,
@@ -40,14 +51,15 @@
 }
 
 impl FakeWorker {
-    pub(crate) fn open(n: usize, service: &str) -> FakeWorker {
+    pub(crate) fn open(n: usize, service: &str, cpu: u64) -> FakeWorker {
         FakeWorker {
-            id: format!("w{n}").into(),
+            id: format!("w{n:02}").into(),
             token: 0,
             runs: BTreeMap::new(),
             cut: 0,
             dark: 0,
             service: service.into(),
+            size: Size { cpu, memory: 2 * cpu, accel: 0 },
             born: 1,
             deadline: 0,
             finished: Vec::new(),
@@ -63,7 +75,7 @@
             addr: SocketAddr::from(([127, 0, 0, 1], 1)),
             service: self.service.clone(),
             domain: "d".into(),
-            size: Size { cpu: 4_000, memory: 8_000, accel: 0 },
+            size: self.size,
             labels: vec!["a".into(), "r".into()],
             draining: false,
             remaining: None,
@@ -77,7 +89,7 @@
     }
 
     pub(crate) fn crash(&mut self, born: Millis, dark: Millis) {
-        let fresh = FakeWorker::open(0, &self.service);
+        let fresh = FakeWorker::open(0, &self.service, self.size.cpu);
         *self = FakeWorker { id: self.id.clone(), born, dark, cut: self.cut, ..fresh };
     }
 
@@ -148,6 +160,7 @@
         let run = FakeRun {
             run: start.run,
             cpu: step.size.cpu,
+            began: now,
             ends: now + step.estimate,
             fails,
             lasts: step.lasting,
@@ -184,7 +197,7 @@
             task: task.clone(),
             run: run.run,
             saved: "".into(),
-            percent: 50,
+            percent: if run.lasts && run.works(now) { 100 } else { 50 },
             gauge: 0,
         });
         let unseen = self.finished.iter().filter(|end| end.number > hold.acked).cloned();
