Lasting tasks let jobs that can be in time go first, for four seconds at most

Cause: a lasting task went before every job of its priority, however little it loses by a wait; a job that no longer earned went last for ever.

Change: within a priority: what has waited for long (lasting tasks 4 s, jobs that no longer earn and do not fill 10 s) by the time of waiting, then jobs that can be in time, late ones, lasting tasks, jobs that no longer earn.

Why it works: a lasting task loses the moments that it waits, a job that misses its objective loses everything; the bound of 4 s stays under the 6 s after which a lasting task may not wait beside room.

--- a/crates/lead/src/order.rs
+++ b/crates/lead/src/order.rs
@@ -5,14 +5,23 @@
 
 /// Factor of the objective beyond which a job earns nothing any more.
 const LATE: u64 = 3;
+/// Wait from which a lasting task goes before all others of its priority.
+const OVERDUE: Millis = 4_000;
+/// The same for a job that no longer earns and competes with lasting tasks for room,
+/// so that it ends at some time.
+const OVERDUE_LOST: Millis = 10_000;
 
-/// Whether a job can still be shown as ended in time.
+/// Whether a job can still be shown as ended in time, the one to serve first in front.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Timeliness {
+    /// It has waited for so long that others wait for it.
+    Overdue,
     /// It can.
     InTime,
     /// It will be late.
     Late,
+    /// It has no end: it loses the moments that it waits, and no more.
+    Lasting,
     /// It will be so late that it no longer matters when.
     Lost,
 }
@@ -31,12 +40,16 @@
         order.into_iter().map(|(_, id)| id.clone()).collect()
     }
 
-    /// Whether a job can be in time, and the latest moment to go on with it, in
-    /// Unix milliseconds.
+    /// Whether a job can be in time, and the latest moment to go on with it, or where
+    /// that is past caring since when it has waited, in Unix milliseconds.
     fn urgency(&self, job: &Job, now: Now) -> (Timeliness, Millis) {
+        let since = || now.unix.saturating_sub(self.longest_wait(&job.id, now));
         if job.spec.steps.iter().any(|step| step.lasting) {
-            // Each moment that it runs counts, however late it is.
-            return (Timeliness::InTime, 0);
+            let since = since();
+            return match now.unix >= since + OVERDUE {
+                true => (Timeliness::Overdue, since),
+                false => (Timeliness::Lasting, since),
+            };
         }
         let chain = chain(&job.spec.steps, |_| true);
         let objective = (chain as f64 * job.queue.stretch) as Millis + job.queue.target;
@@ -49,6 +62,10 @@
             end if end <= from + LATE * objective => Timeliness::Late,
             _ => Timeliness::Lost,
         };
+        let fills = job.spec.steps.iter().all(|step| step.fills);
+        if timeliness == Timeliness::Lost && !fills && now.unix >= since() + OVERDUE_LOST {
+            return (Timeliness::Overdue, since());
+        }
         (timeliness, (from + objective).saturating_sub(left))
     }
 }
--- a/crates/lead/src/waits.rs
+++ b/crates/lead/src/waits.rs
@@ -6,7 +6,7 @@
 use crate::{Lead, load::Kind};
 
 /// Time between two looks at what waits.
-const PERIOD: Millis = 200;
+const PERIOD: Millis = 50;
 /// Wait from which a step is reported.
 const LONG: Millis = 1_000;
 /// Steps reported at a time, those that have waited longest.
@@ -96,6 +96,13 @@
         self.waits.get(id).map_or(0, |since| now.mono.saturating_sub(*since))
     }
 
+    /// Longest time for which a task of a job has waited.
+    pub(crate) fn longest_wait(&self, job: &Name, now: Now) -> Millis {
+        let first = StepId { job: job.clone(), occ: 0, step: 0 };
+        let of_job = self.waits.range(first..).take_while(|(id, _)| id.job == *job);
+        of_job.map(|(_, since)| now.mono.saturating_sub(*since)).max().unwrap_or(0)
+    }
+
     /// Why the tasks of a step wait; `None` where none does.
     pub fn wait(&self, id: &StepId, now: Now) -> Option<Wait> {
         let tasks = self.waiting.get(&id.job)?;
--- a/crates/lead/tests/decisions.rs
+++ b/crates/lead/tests/decisions.rs
@@ -1,5 +1,6 @@
 //! Decisions of the leader on a fleet that keeps still, case by case.
 
+#[allow(dead_code)]
 mod fleet;
 
 use base::Size;
--- a/crates/lead/tests/fleet/mod.rs
+++ b/crates/lead/tests/fleet/mod.rs
@@ -7,7 +7,7 @@
 
 use base::{Millis, Name, Now, Size};
 use job::{Queue, Spec, StepId, TaskId};
-use lead::{Bounds, Lead, Order, Submitted};
+use lead::{Bounds, Lead, Order, Run, Submitted};
 use port::{Allowed, End, Ended, Entry, Held, Hold, Item, Running, Start, Stop, WorkerFault};
 
 /// The moment at which a fleet opens.
@@ -88,8 +88,13 @@
     }
 
     pub(crate) fn submit(&mut self, id: &str, spec: Spec) -> Submitted {
-        let queue =
-            Queue { name: "q".into(), service: "s".into(), attempts: 2, ..Queue::default() };
+        let queue = Queue {
+            name: "q".into(),
+            service: "s".into(),
+            attempts: 2,
+            stretch: 2.0,
+            ..Queue::default()
+        };
         self.lead.submit(&id.into(), &queue, spec, self.time())
     }
 
@@ -98,6 +103,12 @@
         self.store();
     }
 
+    pub(crate) fn cancel(&mut self, id: &str) {
+        let time = self.time();
+        self.lead.cancel(&id.into(), time);
+        self.store();
+    }
+
     /// Accepts a job of a queue that needs tickets.
     pub(crate) fn accept_advised(&mut self, id: &str, spec: Spec) {
         let queue = Queue {
@@ -158,6 +169,32 @@
         self.lead.hold(&id.into(), true, true, time).expect("a known worker").1
     }
 
+    /// A worker lists a run that has come so far.
+    pub(crate) fn list_at(&mut self, id: &str, start: &Start, percent: u32) {
+        let row = Running {
+            task: start.task.clone(),
+            run: start.run,
+            saved: "".into(),
+            percent,
+            gauge: 0,
+        };
+        self.listed(id, vec![row], Vec::new());
+    }
+
+    /// A worker lists what it is known to run.
+    pub(crate) fn keep(&mut self, id: &str) {
+        let runs = &self.lead.workers[id].runs;
+        let row = |(task, run): (&TaskId, &Run)| Running {
+            task: task.clone(),
+            run: run.no,
+            saved: "".into(),
+            percent: run.percent,
+            gauge: run.gauge,
+        };
+        let rows = runs.iter().map(row).collect();
+        self.listed(id, rows, Vec::new());
+    }
+
     /// A worker lists its runs with their figures, and ends.
     pub(crate) fn list(
         &mut self,
@@ -165,8 +202,6 @@
         running: &[(&Start, u64)],
         ends: &[(u64, &Start, End)],
     ) {
-        let (time, sent) = (self.time(), self.now);
-        self.hold(id);
         let running = running.iter().map(|(start, gauge)| Running {
             task: start.task.clone(),
             run: start.run,
@@ -181,12 +216,13 @@
             end: *end,
             saved: "".into(),
         });
-        let held = Held {
-            clock: self.now,
-            born: Some(1),
-            running: running.collect(),
-            finished: finished.collect(),
-        };
+        self.listed(id, running.collect(), finished.collect());
+    }
+
+    fn listed(&mut self, id: &str, running: Vec<Running>, finished: Vec<Ended>) {
+        let (time, sent) = (self.time(), self.now);
+        self.hold(id);
+        let held = Held { clock: self.now, born: Some(1), running, finished };
         self.lead.on_hold(&id.into(), sent, Ok(held), time);
     }
 
