Reservations of workers are called so

Cause: room.rs called a reserved worker held, while port::Held is a worker's lists; a reader met one word for two things.

Change: Reservation, reserved, why=reserved.

--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -4,7 +4,7 @@
 use job::{Job, JobRecord, Queue, Spec, State, StepId, TaskId};
 use port::{Item, Pace, Peer, Start, Stop};
 
-use crate::{Worker, advice::Policy, journal::Journal, learn::Learn, room::Held};
+use crate::{Worker, advice::Policy, journal::Journal, learn::Learn, room::Reservation};
 
 /// Bits of a run's number that count within one epoch.
 const RUN_BITS: u32 = 28;
@@ -94,7 +94,7 @@
     /// When that was last noted.
     pub(crate) waits_noted: Millis,
     /// Workers whose room is kept for a step.
-    pub(crate) held: BTreeMap<Name, Held>,
+    pub(crate) reserved: BTreeMap<Name, Reservation>,
     /// When room was last made.
     pub(crate) room_made: Millis,
     watched: Millis,
@@ -126,7 +126,7 @@
             reported: 0,
             waits: BTreeMap::new(),
             waits_noted: 0,
-            held: BTreeMap::new(),
+            reserved: BTreeMap::new(),
             room_made: 0,
             watched: 0,
             runs: 0,
--- a/crates/lead/src/place.rs
+++ b/crates/lead/src/place.rs
@@ -120,7 +120,7 @@
         task.queued = false;
         task.on.push(worker.clone());
         self.searched = worker.clone();
-        self.held.remove(worker);
+        self.reserved.remove(worker);
         let Some(entry) = self.workers.get_mut(worker) else { return };
         let clock = entry.clock_now(now.mono).unwrap_or(0);
         let deadline = clock + lease;
--- a/crates/lead/src/room.rs
+++ b/crates/lead/src/room.rs
@@ -7,14 +7,14 @@
 
 /// Time between two looks at what needs room.
 const PERIOD: Millis = 60;
-/// Longest time for which a worker is held. Lasting tasks that wait may take the room
+/// Longest time for which a worker is reserved. Lasting tasks that wait may take the room
 /// afterwards, so that none waits for long beside room that nothing uses.
-const HELD: Millis = 1_000;
-/// Part of the workers that may be held at a time.
-const HELD_MOST: f64 = 0.05;
+const RESERVED: Millis = 1_000;
+/// Part of the workers that may be reserved at a time.
+const RESERVED_MOST: f64 = 0.05;
 /// Wait up to which nothing is moved for a task that would fit where plain ones end.
 const PATIENCE: Millis = 200;
-/// Wait of a lasting task from which only one worker is held at a time, so that what is
+/// Wait of a lasting task from which only one worker is reserved at a time, so that what is
 /// free is never kept from it for long.
 const STRAINED: Millis = 5_000;
 /// Part of a lasting step that may be away where its caller names no limit.
@@ -28,7 +28,7 @@
 
 /// A worker whose room is kept for a step.
 #[derive(Debug, Clone)]
-pub(crate) struct Held {
+pub(crate) struct Reservation {
     step: StepId,
     until: Millis,
 }
@@ -39,7 +39,7 @@
     step: StepId,
     /// A task that waits.
     first: TaskId,
-    /// Tasks that wait and for which no worker is held.
+    /// Tasks that wait and for which no worker is reserved.
     tasks: usize,
     /// When the first of them was queued.
     since: Millis,
@@ -71,13 +71,13 @@
 
 impl Lead {
     /// Whether the room of a worker is kept for another step.
-    pub(crate) fn held(&self, worker: &Name, id: &TaskId, now: Now) -> bool {
-        let Some(Held { step, until }) = self.held.get(worker) else { return false };
+    pub(crate) fn reserved(&self, worker: &Name, id: &TaskId, now: Now) -> bool {
+        let Some(Reservation { step, until }) = self.reserved.get(worker) else { return false };
         now.mono < *until && (&step.job, step.occ, step.step) != (&id.job, id.occ, id.step)
     }
 
     /// Makes room for plain tasks that find no place: lasting tasks are moved off a
-    /// worker, which is held meanwhile. A lasting task loses the moments of the move, a
+    /// worker, which is reserved meanwhile. A lasting task loses the moments of the move, a
     /// plain one that waits for its end would be late.
     pub(crate) fn make_room(&mut self, now: Now) {
         if now.mono < self.room_made + PERIOD {
@@ -85,11 +85,11 @@
         }
         self.room_made = now.mono;
         let waits = &self.waits;
-        // A worker that was held is open for one round before it is held again.
-        self.held.retain(|_, h| now.mono < h.until + PERIOD && waits.contains_key(&h.step));
+        // A worker that was reserved is open for one round before it is reserved again.
+        self.reserved.retain(|_, r| now.mono < r.until + PERIOD && waits.contains_key(&r.step));
         let most = match self.strained(now) {
             true => 1,
-            false => (self.workers.len() as f64 * HELD_MOST).ceil() as usize,
+            false => (self.workers.len() as f64 * RESERVED_MOST).ceil() as usize,
         };
         let short = self.short_steps(now);
         let is_long = |short: &Short| now.mono >= short.since + LONG;
@@ -99,16 +99,16 @@
     }
 
     /// Makes room for some steps, with so large a part of any lasting step away and so
-    /// many workers held at the most.
+    /// many workers reserved at the most.
     fn make_room_for(&mut self, short: &[Short], away: f64, most: usize, now: Now) {
-        if short.is_empty() || self.held.len() >= most {
+        if short.is_empty() || self.reserved.len() >= most {
             return;
         }
         let mut movables = self.movables(away);
         for short in short {
-            let left = most.saturating_sub(self.held.len());
+            let left = most.saturating_sub(self.reserved.len());
             for plan in self.plans(short, left, &mut movables, now) {
-                self.hold_room(plan, &short.step, now);
+                self.reserve_room(plan, &short.step, now);
             }
         }
     }
@@ -137,8 +137,8 @@
             if !plain || (job.inherited && !settled) {
                 continue;
             }
-            let held = self.held.values().filter(|held| held.step == *step).count();
-            let tasks = (1 + of_step.count()).saturating_sub(held);
+            let reserved = self.reserved.values().filter(|r| r.step == *step).count();
+            let tasks = (1 + of_step.count()).saturating_sub(reserved);
             let (step, first, since) = (step.clone(), first.clone(), *since);
             short.push(Short { step, first, tasks, since });
         }
@@ -204,7 +204,7 @@
         self.workers.values().any(|worker| {
             let ends = worker.runs.values().filter(|run| !run.lasting && !run.fills);
             let free = ends.fold(worker.free(), |free, run| free.plus(run.size));
-            let open = worker.usable(stored, now.mono) && !self.held(&worker.entry.id, id, now);
+            let open = worker.usable(stored, now.mono) && !self.reserved(&worker.entry.id, id, now);
             open && need.suits(worker) && need.apart(worker) && need.step.size.fits(free)
         })
     }
@@ -216,7 +216,7 @@
         let stored = self.stored();
         let plans = movables.on.iter().filter_map(|(name, list)| {
             let worker = self.workers.get(name)?;
-            let usable = worker.usable(stored, now.mono) && !self.held.contains_key(name);
+            let usable = worker.usable(stored, now.mono) && !self.reserved.contains_key(name);
             let open = usable && (!need.advised || self.ticket(id, name, now).is_some());
             if !open || !need.suits(worker) || !need.apart(worker) {
                 return None;
@@ -226,8 +226,8 @@
         plans.min_by_key(|plan| plan.cost)
     }
 
-    /// Holds a worker for a step and moves what is in the way.
-    fn hold_room(&mut self, plan: Plan, step: &StepId, now: Now) {
+    /// Reserves a worker for a step and moves what is in the way.
+    fn reserve_room(&mut self, plan: Plan, step: &StepId, now: Now) {
         let Plan { worker, moves, cost } = plan;
         event!(
             "make_room",
@@ -239,8 +239,8 @@
             cpu = cost.0
         );
         metrics::counter!("tasks_moved").increment(moves.len() as u64);
-        let until = now.mono + HELD;
-        self.held.insert(worker.clone(), Held { step: step.clone(), until });
+        let until = now.mono + RESERVED;
+        self.reserved.insert(worker.clone(), Reservation { step: step.clone(), until });
         for Movable { task, .. } in moves {
             self.stop(&worker, &task, "makes_room");
         }
--- a/crates/lead/src/search.rs
+++ b/crates/lead/src/search.rs
@@ -127,7 +127,7 @@
     ) -> Option<f64> {
         let usable = worker.usable(self.stored(), now.mono) && need.allowed(worker);
         let ticket = || !need.advised || self.ticket(id, &worker.entry.id, now).is_some();
-        if !usable || self.held(&worker.entry.id, id, now) || !ticket() {
+        if !usable || self.reserved(&worker.entry.id, id, now) || !ticket() {
             return None;
         }
         let harm = |serves: &Name| match harms.get(serves) {
--- a/crates/lead/src/waits.rs
+++ b/crates/lead/src/waits.rs
@@ -31,8 +31,8 @@
     Harm,
     /// There is a place, but the policy of the queue has not allowed it yet.
     Ticket,
-    /// There is a place, but it is kept for a step that has waited longer.
-    Held,
+    /// There is a place, but it is reserved for a step that has waited longer.
+    Reserved,
     /// There is a place; others go first.
     Order,
 }
@@ -48,7 +48,7 @@
             Why::Full => "full",
             Why::Harm => "harm",
             Why::Ticket => "ticket",
-            Why::Held => "held",
+            Why::Reserved => "reserved",
             Why::Order => "order",
         }
     }
@@ -81,8 +81,8 @@
     wide: usize,
     /// Workers with enough of everything.
     roomy: usize,
-    /// Places that are kept for others.
-    held: usize,
+    /// Places that are reserved for others.
+    reserved: usize,
     /// Places for the task.
     places: usize,
     largest: u64,
@@ -90,15 +90,15 @@
 }
 
 impl Seen {
-    fn look(&mut self, worker: &Worker, need: &Need<'_>, held: bool) {
+    fn look(&mut self, worker: &Worker, need: &Need<'_>, reserved: bool) {
         let piece = worker.piece(need.step.fills);
         self.workers += 1;
         self.whole += usize::from(need.step.size.fits(worker.entry.size));
         self.wide += usize::from(need.step.size.cpu <= piece);
         self.roomy += usize::from(need.has_room(worker));
         let place = need.allowed(worker);
-        self.held += usize::from(place && held);
-        self.places += usize::from(place && !held);
+        self.reserved += usize::from(place && reserved);
+        self.places += usize::from(place && !reserved);
         self.largest = self.largest.max(piece);
         self.room += piece;
     }
@@ -110,7 +110,7 @@
             () if self.places > 0 && need.step.fills => Why::Harm,
             () if self.places > 0 && need.advised => Why::Ticket,
             () if self.places > 0 => Why::Order,
-            () if self.held > 0 => Why::Held,
+            () if self.reserved > 0 => Why::Reserved,
             () if self.roomy > 0 => Why::Apart,
             () if self.wide > 0 => Why::Memory,
             () if self.room >= need.step.size.cpu * tasks as u64 => Why::Scattered,
@@ -174,7 +174,7 @@
         let able = self.workers.values().filter(|w| w.usable(stored, now.mono) && need.suits(w));
         let mut seen = Seen::default();
         for worker in able {
-            seen.look(worker, &need, self.held(&worker.entry.id, id, now));
+            seen.look(worker, &need, self.reserved(&worker.entry.id, id, now));
         }
         Some((seen.why(&need, tasks), seen.largest, seen.room))
     }
--- a/crates/lead/tests/large.rs
+++ b/crates/lead/tests/large.rs
@@ -441,7 +441,7 @@
     }
 }
 
-/// Guards against a breach seen while SHORT was mended: workers held one after the other
+/// Guards against a breach seen while SHORT was mended: workers reserved one after the other
 /// kept lasting tasks waiting beside room for them twice over.
 #[test]
 fn no_service_waits_for_long_beside_room_for_it_twice_over() {
--- a/crates/lead/tests/room.rs
+++ b/crates/lead/tests/room.rs
@@ -1,4 +1,4 @@
-//! Room that is made for tasks which no free piece holds: what is moved, what is held
+//! Room that is made for tasks which no free piece holds: what is moved, what is reserved
 //! meanwhile, and what is left alone.
 
 #[allow(dead_code)]
@@ -204,7 +204,7 @@
 
 /// Guards against a breach of the rule that lasting tasks do not wait beside room.
 #[test]
-fn a_worker_is_held_for_a_second_at_most_on_end() {
+fn a_worker_is_reserved_for_a_second_at_most_on_end() {
     let (mut fleet, sent) = serving(3, service(3, 2_500), 100);
     fleet.accept("large", spec(step(1, 3_000)));
     let stopped = stops(&look(&mut fleet));
@@ -224,13 +224,13 @@
             break;
         }
     }
-    assert!(began.is_some(), "the worker stays held");
+    assert!(began.is_some(), "the worker stays reserved");
 }
 
-/// Guards against a breach seen while SHORT was mended: workers were held on for steps
+/// Guards against a breach seen while SHORT was mended: workers were reserved on for steps
 /// that waited no longer, beside lasting tasks that did.
 #[test]
-fn a_worker_is_held_only_while_the_step_waits() {
+fn a_worker_is_reserved_only_while_the_step_waits() {
     let (mut fleet, sent) = serving(3, service(3, 2_500), 100);
     fleet.accept("large", spec(step(1, 3_000)));
     let stopped = stops(&look(&mut fleet));
