Relays carry the leader's messages to workers; heartbeats go to a core of VMs

Heartbeats grew with the square of the VMs: each leader's named all VMs (5 KB) to all VMs, 640 times a second.

Change: crate relay. Followers of a worker's failure domain poll it, renew its leases and carry commands; the leader sends orders and gets reports of changes, one call a relay at a time. A relay renews only within a permission that counts from its own report, refuses commands that are older than 1.2 s by its own clock, accepts orders once and in sequence, and drops its session at a new epoch. A lost relay's commands are in doubt, its workers are polled by the leader until another relay has them, and their leases count from the end of the last permission. Up to 128 workers (direct-workers) the leader does without. Heartbeats: 16 VMs are in close contact with the leader, the others get a quarter of them; followers report to the leader and few others; a claim is announced, so that the others hold theirs back.

--- a/crates/cli/src/logs.rs
+++ b/crates/cli/src/logs.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::VecDeque,
     io::{self, Write},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     thread,
@@ -13,10 +14,12 @@
 const MAX_BUFFER_BYTES: usize = 1 << 20;
 
 /// Log lines to be written by a separate thread, so that a reader that stops reading the
-/// output never blocks the process.
+/// output never blocks the process. Lines are written whole or counted as dropped.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Buffer {
     lines: Arc<Mutex<Lines>>,
+    /// Bytes taken from `lines` that the output has not accepted yet.
+    unwritten: Arc<Mutex<VecDeque<u8>>>,
 }
 
 #[derive(Debug, Default)]
@@ -27,20 +30,47 @@
 
 impl Buffer {
     fn lines(&self) -> MutexGuard<'_, Lines> {
-        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.lines)
     }
 
     /// Writes the buffered lines to standard output.
     pub(crate) fn flush(&self) {
-        let Lines { mut bytes, dropped } = std::mem::take(&mut *self.lines());
+        self.write_to(&mut io::stdout().lock());
+    }
+
+    /// Writes the buffered lines, as far as the output accepts them. The rest is kept.
+    fn write_to(&self, output: &mut dyn Write) {
+        let mut unwritten = lock(&self.unwritten);
+        if !write_some(&mut unwritten, output) {
+            return;
+        }
+        let Lines { bytes, dropped } = std::mem::take(&mut *self.lines());
+        unwritten.extend(bytes);
         if dropped > 0 {
-            bytes.extend_from_slice(format!("event=log_dropped lines={dropped}\n").as_bytes());
+            unwritten.extend(format!("event=log_dropped lines={dropped}\n").into_bytes());
         }
-        if !bytes.is_empty() {
-            // If standard output is closed, there is nowhere to report the error.
-            let _ = io::stdout().write_all(&bytes);
+        write_some(&mut unwritten, output);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Writes bytes until none are left or the output accepts no more; returns whether none are
+/// left.
+fn write_some(bytes: &mut VecDeque<u8>, output: &mut dyn Write) -> bool {
+    while !bytes.is_empty() {
+        match output.write(bytes.as_slices().0) {
+            Ok(count) if count > 0 => drop(bytes.drain(..count)),
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            // A pipe that is full accepts more later. If the output is closed, there is nowhere
+            // to report the error.
+            _ => return false,
         }
     }
+    // `Stdout` is buffered by line.
+    output.flush().is_ok()
 }
 
 impl Write for Buffer {
--- a/crates/conf/src/platform.rs
+++ b/crates/conf/src/platform.rs
@@ -33,6 +33,9 @@
     pub advice: Option<SocketAddr>,
     /// CPU capacity of this VM, in thousandths of a core.
     pub cpu_capacity: u32,
+    /// Number of workers up to which the leader exchanges messages with them itself, without
+    /// relays.
+    pub direct_workers: usize,
     /// Limits set by the platform.
     pub limits: Limits,
 }
@@ -55,8 +58,12 @@
 const ENTRY_KEYS: &[&str] = &["vm", "domain", "region", "callers", "health", "peers", "announce"];
 const PLATFORM_KEYS: &[&str] = &["store", "advice"];
 const VM_KEYS: &[&str] = &["share", "cores"];
+const RELAY_KEYS: &[&str] = &["direct-workers"];
 const BOUND_KEYS: &[&str] = &["hold-ms", "remote", "restore-ms", "impact-ms", "grace-s"];
 
+/// Default of [`PlatformSettings::direct_workers`].
+const DEFAULT_DIRECT_WORKERS: usize = 128;
+
 impl PlatformSettings {
     /// Reads and checks a settings file.
     ///
@@ -89,6 +96,7 @@
         ("entry", ENTRY_KEYS),
         ("platform", PLATFORM_KEYS),
         ("vm", VM_KEYS),
+        ("relays", RELAY_KEYS),
         ("bounds", BOUND_KEYS),
     ]);
     let cores =
@@ -104,6 +112,7 @@
         store: reader.address("platform", "store"),
         advice: optional_address(reader, "platform", "advice"),
         cpu_capacity: (cores * 1000.0) as u32,
+        direct_workers: whole_number(reader, "relays", "direct-workers", DEFAULT_DIRECT_WORKERS),
         limits: Limits {
             max_lease: positive_number(reader, "bounds", "hold-ms", 10_000.0) as Millis,
             remote_factor: positive_number(reader, "bounds", "remote", 2.0),
@@ -133,3 +142,14 @@
         }
     }
 }
+
+/// Reads a whole number; a missing or empty key takes the default.
+fn whole_number(reader: &mut IniReader<'_>, section: &str, key: &str, default: usize) -> usize {
+    let text = reader.text(section, key).filter(|text| !text.is_empty());
+    let Some(text) = text else { return default };
+    text.parse().unwrap_or_else(|_| {
+        let problem = format!("not a whole number: {text:?}");
+        reader.faults.push(Fault::new(section, key, problem, "write a number like 128"));
+        default
+    })
+}
--- a/crates/elect/src/elect.rs
+++ b/crates/elect/src/elect.rs
@@ -1,13 +1,24 @@
-use std::{cmp::Reverse, collections::BTreeMap};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use base::{Millis, Name, hash};
 
-use crate::{Heartbeat, Purpose, Vm};
+use crate::{
+    Heartbeat, Purpose, Vm,
+    fanout::{CORE_INTERVAL, Schedule},
+};
 
-/// Leader silence after which the other VMs are queried about it.
-const SUSPECT_AFTER: Millis = 450;
-/// Leader silence after which the first candidate claims leadership.
-const CLAIM_AFTER: Millis = 750;
+/// Leader silence after which the other VMs are queried about it, for a VM that gets the
+/// leader's heartbeats at [`CORE_INTERVAL`].
+const SUSPECT_AFTER: Millis = 3 * CORE_INTERVAL;
+/// Leader silence after which the first candidate claims leadership, for such a VM.
+const CLAIM_AFTER: Millis = 5 * CORE_INTERVAL;
+/// Extra claim delay of VMs outside the core, which do not know all better candidates.
+const REMOTE_CLAIM_DELAY: Millis = 1_000;
+/// Pause before the next claim after another VM has announced one.
+const CLAIM_HOLD: Millis = 1_000;
 /// Delay after process start before the first claim if no leader is known.
 const STARTUP_DELAY: Millis = 300;
 /// Extra claim delay for each better candidate.
@@ -54,17 +65,19 @@
 /// milliseconds of a monotonic clock.
 #[derive(Debug)]
 pub struct Election {
-    me: Vm,
-    /// Configured CPU capacity, in thousandths of a core.
-    cpu_capacity: u32,
+    pub(crate) me: Vm,
     /// VMs that have recently sent a heartbeat.
     peers: BTreeMap<Name, Peer>,
     /// All VMs known, including those that have sent nothing.
-    known: BTreeMap<Name, Vm>,
+    pub(crate) known: BTreeMap<Name, Vm>,
+    /// VMs in close contact with the leader.
+    pub(crate) core: BTreeSet<Name>,
     leader: Option<Leader>,
     epoch: u64,
     /// Last direct contact with the leader.
     contact_at: Millis,
+    /// Interval at which the leader sends heartbeats to this VM.
+    leader_interval: Millis,
     /// Last contact of another VM with the leader, and that VM.
     indirect_contact: Option<(Millis, Vm)>,
     /// Time before which this VM makes no claim.
@@ -75,6 +88,7 @@
     takeover_requested: bool,
     /// When this VM became the leader.
     leading_since: Millis,
+    pub(crate) schedule: Schedule,
     /// Whether this VM is the leader.
     pub leading: bool,
     /// Whether the store answers this VM.
@@ -87,31 +101,35 @@
     pub manifest_version: u64,
     /// Whether this VM is shutting down; it then makes no claim.
     pub leaving: bool,
+    /// Whether a claim of this VM is running.
+    pub claiming: bool,
 }
 
 impl Election {
-    /// Creates the state of a process that has just started, on a VM of a CPU capacity
-    /// in thousandths of a core.
-    pub fn new(me: Vm, cpu_capacity: u32, now: Millis) -> Election {
+    /// Creates the state of a process that has just started.
+    pub fn new(me: Vm, now: Millis) -> Election {
         Election {
+            core: BTreeSet::from([me.name.clone()]),
             me,
-            cpu_capacity,
             peers: BTreeMap::new(),
             known: BTreeMap::new(),
             leader: None,
             epoch: 0,
             contact_at: now.saturating_sub(CLAIM_AFTER - STARTUP_DELAY),
+            leader_interval: CORE_INTERVAL,
             indirect_contact: None,
             backoff_until: 0,
             queried_at: 0,
             takeover_requested: false,
             leading_since: 0,
+            schedule: Schedule::default(),
             leading: false,
             store_reachable: false,
             store_latency: 0,
             lag: 0,
             manifest_version: 0,
             leaving: false,
+            claiming: false,
         }
     }
 
@@ -122,7 +140,10 @@
         }
         let newer = self.known.get(&vm.name).is_none_or(|known| known.incarnation < vm.incarnation);
         if newer {
-            self.known.insert(vm.name.clone(), vm);
+            let known = self.known.insert(vm.name.clone(), vm);
+            if known.is_none() {
+                self.update_core();
+            }
         }
     }
 
@@ -139,6 +160,9 @@
         if heartbeat.purpose == Purpose::TakeOver && heartbeat.epoch >= self.epoch {
             self.takeover_requested = true;
         }
+        if heartbeat.claiming && heartbeat.epoch >= self.epoch {
+            self.backoff_until = self.backoff_until.max(now + CLAIM_HOLD);
+        }
         self.peers.insert(heartbeat.from.name.clone(), Peer { heartbeat, received_at: now });
     }
 
@@ -157,9 +181,14 @@
             self.leader = Some(Leader { epoch: heartbeat.epoch, vm });
             // No contact yet: query the other VMs at once.
             self.contact_at = now.saturating_sub(SUSPECT_AFTER);
+            self.leader_interval = CORE_INTERVAL;
         }
         if heartbeat.leading {
             self.contact_at = now;
+            // Heartbeats that announce a takeover or reply to a query have no interval.
+            if heartbeat.interval > 0 {
+                self.leader_interval = heartbeat.interval;
+            }
         } else if heartbeat.contact_age < SUSPECT_AFTER {
             self.indirect_contact =
                 Some((now.saturating_sub(heartbeat.contact_age), heartbeat.from.clone()));
@@ -196,16 +225,18 @@
         }
         let leader_alive =
             self.indirect_contact.as_ref().is_some_and(|(at, _)| now < at + INDIRECT_CONTACT_TTL);
-        let due = self.contact_at + CLAIM_AFTER + self.rank(now) * CLAIM_STAGGER;
+        let remote_delay = if self.in_core() { 0 } else { REMOTE_CLAIM_DELAY };
+        let delay = self.scaled(CLAIM_AFTER) + self.rank(now) * CLAIM_STAGGER + remote_delay;
+        let due = self.contact_at + delay;
         !leader_alive && now >= due
     }
 
     /// Returns whether to query the other VMs about the leader now, and if so records
     /// the time.
-    pub fn should_query(&mut self, now: Millis) -> bool {
+    pub(crate) fn should_query(&mut self, now: Millis) -> bool {
         if self.leading
-            || now < self.contact_at + SUSPECT_AFTER
-            || now < self.queried_at + CLAIM_STAGGER / 2
+            || now < self.contact_at + self.scaled(SUSPECT_AFTER)
+            || now < self.queried_at + self.query_interval()
         {
             return false;
         }
@@ -213,6 +244,12 @@
         true
     }
 
+    /// Returns a time limit on the leader's silence, extended if this VM gets the leader's
+    /// heartbeats at a longer interval.
+    fn scaled(&self, limit: Millis) -> Millis {
+        limit * self.leader_interval / CORE_INTERVAL
+    }
+
     /// Returns the number of better candidates, each of which claims earlier.
     fn rank(&self, now: Millis) -> Millis {
         let mine = score(self.effective_capacity(), self.store_latency, &self.me.name);
@@ -242,8 +279,8 @@
     /// since it then gets less than its VM was given.
     fn effective_capacity(&self) -> u32 {
         match self.lag {
-            0..IDLE_LAG => self.cpu_capacity,
-            lag => self.cpu_capacity * IDLE_LAG / (IDLE_LAG + lag),
+            0..IDLE_LAG => self.me.cpu_capacity,
+            lag => self.me.cpu_capacity * IDLE_LAG / (IDLE_LAG + lag),
         }
     }
 
@@ -259,7 +296,7 @@
     /// has lost contact with it, a VM that had contact recently.
     pub fn next_hop(&self, now: Millis) -> Option<Vm> {
         let leader = self.leader.as_ref()?;
-        if self.leading || now < self.contact_at + CLAIM_AFTER {
+        if self.leading || now < self.contact_at + self.scaled(CLAIM_AFTER) {
             return Some(leader.vm.clone());
         }
         let relay =
@@ -272,6 +309,16 @@
         self.leader.as_ref()
     }
 
+    /// Returns for how long this VM has led, in milliseconds.
+    pub fn tenure(&self, now: Millis) -> Millis {
+        now.saturating_sub(self.leading_since)
+    }
+
+    /// Returns a VM by its name.
+    pub fn vm(&self, name: &Name) -> Option<Vm> {
+        self.known.get(name).cloned()
+    }
+
     /// Returns the highest epoch known.
     pub fn epoch(&self) -> u64 {
         self.epoch
@@ -288,11 +335,27 @@
         now.saturating_sub(direct.max(indirect))
     }
 
-    /// Returns the VMs to send heartbeats to, and drops peers that have been silent for
-    /// too long.
-    pub fn heartbeat_targets(&mut self, now: Millis) -> Vec<Vm> {
+    /// Returns whether no other VM is known.
+    pub fn is_alone(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    /// Drops the heartbeats of VMs that have been silent for too long.
+    pub fn expire_peers(&mut self, now: Millis) {
         self.peers.retain(|_, peer| now < peer.received_at + PEER_RETENTION);
-        self.known.values().cloned().collect()
+    }
+
+    /// Returns the VMs that have recently sent a heartbeat.
+    pub(crate) fn fresh_vms(&self, now: Millis) -> Vec<Vm> {
+        let fresh = self.peers.values().filter(|peer| now < peer.received_at + MAX_CANDIDATE_AGE);
+        fresh.map(|peer| peer.heartbeat.from.clone()).collect()
+    }
+
+    /// Returns the last heartbeats of the VMs to which the leader may hand work: those that
+    /// have recently sent one and are not shutting down.
+    pub fn helpers(&self, now: Millis) -> Vec<&Heartbeat> {
+        let fresh = self.peers.values().filter(|peer| now < peer.received_at + MAX_CANDIDATE_AGE);
+        fresh.map(|peer| &peer.heartbeat).filter(|heartbeat| !heartbeat.leaving).collect()
     }
 
     /// Returns a VM with a newer manifest, preferably in the same failure domain.
@@ -325,12 +388,7 @@
 
     /// Returns a heartbeat of this VM.
     pub fn heartbeat(&self, purpose: Purpose, now: Millis) -> Heartbeat {
-        let fresh = self.peers.values().filter(|peer| now < peer.received_at + MAX_CANDIDATE_AGE);
-        let others = if self.leading {
-            fresh.map(|p| p.heartbeat.from.clone()).collect()
-        } else {
-            Vec::new()
-        };
+        let others = if self.leading { self.named_vms(now) } else { Vec::new() };
         Heartbeat {
             from: self.me.clone(),
             purpose,
@@ -343,6 +401,8 @@
             cpu_capacity: self.effective_capacity(),
             manifest_version: self.manifest_version,
             leaving: self.leaving,
+            claiming: self.claiming,
+            interval: 0,
             others,
         }
     }
--- a/crates/elect/src/heartbeat.rs
+++ b/crates/elect/src/heartbeat.rs
@@ -15,6 +15,8 @@
     /// Incarnation of the process: its start in Unix milliseconds.
     #[serde(rename = "born")]
     pub incarnation: Millis,
+    /// Configured CPU capacity, in thousandths of a core.
+    pub cpu_capacity: u32,
 }
 
 /// Purpose of a heartbeat.
@@ -60,6 +62,11 @@
     pub manifest_version: u64,
     /// Whether the sender is shutting down.
     pub leaving: bool,
-    /// Other VMs that the sender has recently heard from; only a leader fills it in.
+    /// Whether a claim of the sender is running.
+    pub claiming: bool,
+    /// Interval in milliseconds at which the receiver gets this leader's heartbeats; 0 in a
+    /// heartbeat out of turn.
+    pub interval: Millis,
+    /// Some of the VMs that the sender has recently heard from; only a leader fills it in.
     pub others: Vec<Vm>,
 }
--- a/crates/elect/src/lib.rs
+++ b/crates/elect/src/lib.rs
@@ -3,6 +3,7 @@
 //! Does no I/O and reads no clock.
 
 mod elect;
+mod fanout;
 mod heartbeat;
 
 pub use crate::{
--- a/crates/elect/tests/claim.rs
+++ b/crates/elect/tests/claim.rs
@@ -11,6 +11,7 @@
         domain: "d".into(),
         addr: SocketAddr::from(([127, 0, 0, 1], 9)),
         incarnation: 1,
+        cpu_capacity: 250,
     }
 }
 
@@ -29,6 +30,8 @@
         cpu_capacity: 250,
         manifest_version: 1,
         leaving: false,
+        claiming: false,
+        interval: 0,
         others: Vec::new(),
     }
 }
@@ -36,7 +39,7 @@
 /// Returns the state of VM `b`, which can reach the store and received a heartbeat of the
 /// leader `a` at 10 s.
 fn follower(cpu_capacity: u32) -> Election {
-    let mut election = Election::new(vm("b"), cpu_capacity, 0);
+    let mut election = Election::new(Vm { cpu_capacity, ..vm("b") }, 0);
     election.store_reachable = true;
     election.on_heartbeat(heartbeat("a", Some("a"), 0), 10_000);
     election
@@ -164,7 +167,7 @@
         Case { name: "no other VM", lag: 130, others: &[], tenure: 6_000, hands_over: false },
     ];
     for case in cases {
-        let mut election = Election::new(vm("a"), 250, 0);
+        let mut election = Election::new(vm("a"), 0);
         election.store_reachable = true;
         election.become_leader(5, 10_000 - case.tenure);
         for (at, cpu_capacity) in case.others.iter().enumerate() {
@@ -233,7 +236,7 @@
         },
     ];
     for case in cases {
-        let mut election = Election::new(vm(case.me), 250, 0);
+        let mut election = Election::new(vm(case.me), 0);
         for (name, store_reachable, age) in case.others {
             election.on_heartbeat(
                 Heartbeat { store_reachable: *store_reachable, ..heartbeat(name, None, 0) },
--- a/crates/lead/src/latency.rs
+++ b/crates/lead/src/latency.rs
@@ -59,7 +59,7 @@
             .fold(f64::MAX, f64::min);
         let missed_since =
             services.filter(|run| run.missed_since > 0).map(|run| run.missed_since).min();
-        let missed = missed_since.map_or(0.0, |since| (now.mono - since) as f64);
+        let missed = missed_since.map_or(0.0, |since| now.mono.saturating_sub(since) as f64);
         let impact = self.bounds.max_impact as f64;
         if missed > impact * PAUSE_ALL_SHARE {
             self.pause_best_effort(id, now);
@@ -166,7 +166,12 @@
                 }
                 (false, since) if since > 0 && under => {
                     run.missed_since = 0;
-                    event!("target_met", task = task, worker = id, after_ms = now.mono - since);
+                    event!(
+                        "target_met",
+                        task = task,
+                        worker = id,
+                        after_ms = now.mono.saturating_sub(since)
+                    );
                 }
                 _ => {}
             }
--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -3,6 +3,7 @@
 use base::{Millis, Name, Now, event};
 use job::TaskId;
 use port::{Poll, PollReply, Refusal, RunStatus, WorkerAddr, WorkerError, WorkerInfo};
+use relay::{PollTimes, RelayedWorker};
 
 use crate::{Command, Lead, Run, RunState, Worker};
 
@@ -13,6 +14,8 @@
 /// [`LIST_WAIT`] of a worker with service and best-effort tasks, whose latencies have to be
 /// measured more often.
 const MIXED_LIST_WAIT: Millis = 400;
+/// Amount by which a relay's estimate of a worker clock may be ahead of the leader's.
+const RELAY_CLOCK_MARGIN: Millis = 250;
 /// Most completions that a worker lists in one reply.
 const MAX_LISTED_COMPLETIONS: usize = 500;
 
@@ -122,24 +125,55 @@
         let stored = self.journal.stored;
         let token = self.epoch;
         let worker = self.workers.get_mut(id)?;
-        while worker.pending_acks.front().is_some_and(|(_, batch)| *batch <= stored) {
-            let (number, _) = worker.pending_acks.pop_front()?;
-            worker.acked = worker.acked.max(number);
-        }
+        worker.advance_acks(stored);
         // Leases must be left to expire while a worker is silent: each renewal that it may
         // have received puts off the time from which its runs can be dropped.
         let renew = renew && worker.synced && now.mono < worker.replied_at + MAX_RENEW_SILENCE;
         let deadline = worker.clock_now(now.mono).filter(|_| renew).map(|clock| clock + lease);
         worker.lease_expiry = worker.lease_expiry.max(deadline.unwrap_or(0));
-        let mixed = worker.service_cpu > 0 && worker.best_effort_cpu > 0;
-        let wait = match (at_once || !worker.synced, mixed) {
-            (true, _) => 0,
-            (false, true) => MIXED_LIST_WAIT,
-            (false, false) => LIST_WAIT,
-        };
+        let wait = if at_once || !worker.synced { 0 } else { worker.list_wait() };
         Some((worker.addr(), Poll { token, acked: worker.acked, deadline, wait }))
     }
 
+    /// Returns a worker as its relay has to know it; `None` if the worker is unknown.
+    pub fn relayed_worker(&mut self, id: &Name) -> Option<RelayedWorker> {
+        let stored = self.journal.stored;
+        let worker = self.workers.get_mut(id)?;
+        worker.advance_acks(stored);
+        Some(RelayedWorker {
+            worker: worker.addr(),
+            incarnation: worker.info.incarnation,
+            acked: worker.acked,
+            wait: worker.list_wait(),
+            synced: worker.synced,
+        })
+    }
+
+    /// Handles the loss of a worker's relay, which may have renewed its leases until
+    /// `granted_until`.
+    pub fn on_relay_closed(&mut self, id: &Name, granted_until: Millis) {
+        let lease = self.bounds.lease + RELAY_CLOCK_MARGIN;
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.renewed_by_relay = false;
+        let latest = worker.clock_now(granted_until).map_or(0, |clock| clock + lease);
+        worker.lease_expiry = worker.lease_expiry.max(latest);
+    }
+
+    /// Handles the result of a relay's poll.
+    pub fn on_relayed_poll(
+        &mut self,
+        poll: &PollTimes,
+        reply: Result<PollReply, WorkerError>,
+        now: Now,
+    ) {
+        let Some(worker) = self.workers.get_mut(&poll.worker) else { return };
+        worker.lease_expiry = worker.lease_expiry.max(poll.deadline.unwrap_or(0));
+        // A worker that replies gets a permission at once, if its relay has none.
+        worker.renewed_by_relay = poll.renews || reply.is_ok();
+        let received = Now { mono: poll.received_at, ..now };
+        self.on_poll(&poll.worker, poll.sent_at, reply, received);
+    }
+
     /// Returns whether completions of a worker still have to become durable. Until then, the
     /// worker would reply at once and list them again.
     pub fn unacked(&self, id: &Name) -> bool {
@@ -309,3 +343,19 @@
         }
     }
 }
+
+impl Worker {
+    /// Acknowledges the completions that have become durable.
+    fn advance_acks(&mut self, stored: u64) {
+        while let Some((number, _)) = self.pending_acks.pop_front_if(|(_, batch)| *batch <= stored)
+        {
+            self.acked = self.acked.max(number);
+        }
+    }
+
+    /// Returns the time for which the worker may hold back its reply to a poll.
+    fn list_wait(&self) -> Millis {
+        let mixed = self.service_cpu > 0 && self.best_effort_cpu > 0;
+        if mixed { MIXED_LIST_WAIT } else { LIST_WAIT }
+    }
+}
--- a/crates/lead/src/watch.rs
+++ b/crates/lead/src/watch.rs
@@ -41,6 +41,9 @@
     /// Drops the runs of a worker whose leases have certainly expired.
     fn expire(&mut self, id: &Name, now: Now) {
         let Some(worker) = self.workers.get_mut(id) else { return };
+        if worker.renewed_by_relay {
+            return;
+        }
         let Some(end) = worker.leases_end_at().filter(|_| worker.lease_expiry > 0) else { return };
         // Runs may have completed before their leases expired, which only the worker knows.
         // It counts as gone only if it left a request unanswered shortly before the expiry or
@@ -92,7 +95,12 @@
         let settled = self.settled(now);
         let Some(worker) = self.workers.get(id) else { return };
         let expired = worker.leases_end_at().is_none_or(|end| end < now.mono);
-        if worker.listed || !worker.runs.is_empty() || !expired || !settled {
+        if worker.listed
+            || worker.renewed_by_relay
+            || !worker.runs.is_empty()
+            || !expired
+            || !settled
+        {
             return;
         }
         event!("worker_forgotten", worker = id);
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -50,6 +50,8 @@
     pub list_clock: Millis,
     /// Latest lease expiry sent to it, on the worker clock; 0 if none was.
     pub lease_expiry: Millis,
+    /// Whether a relay may be renewing its leases, so that `lease_expiry` may be outdated.
+    pub(crate) renewed_by_relay: bool,
     /// Start commands without a reply, with run id and time. They may still reach a
     /// later incarnation of the worker, which knows nothing of earlier stop commands.
     pub unconfirmed_starts: Vec<(TaskId, u64, Millis)>,
@@ -99,6 +101,7 @@
             clock: None,
             list_clock: 0,
             lease_expiry: 0,
+            renewed_by_relay: false,
             unconfirmed_starts: Vec::new(),
             last_completion: 0,
             pending_acks: VecDeque::new(),
--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -5,9 +5,11 @@
 use elect::Vm;
 use lead::{Bounds, Lead, OWNER};
 use port::{Append, AppendError, Item, Record, Table, Topic};
+use relay::Dispatcher;
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    send::announce_claim,
     state::{MAX_UNCONFIRMED, Node},
     store, workers,
 };
@@ -36,9 +38,10 @@
     let time = now().mono;
     let due = {
         let mut shared = node.shared.borrow_mut();
-        let due =
-            !shared.claiming && shared.manifest.is_some() && shared.election.should_claim(time);
-        shared.claiming |= due;
+        let due = !shared.election.claiming
+            && shared.manifest.is_some()
+            && shared.election.should_claim(time);
+        shared.election.claiming |= due;
         due
     };
     if due {
@@ -46,7 +49,7 @@
         spawn_local(async move {
             let result = claim(&node).await;
             let mut shared = node.shared.borrow_mut();
-            shared.claiming = false;
+            shared.election.claiming = false;
             if let Err(why) = result {
                 event!("claim_failed", vm = node.me.name, why = why);
                 shared.election.step_down(now().mono);
@@ -59,6 +62,7 @@
 async fn claim(node: &Rc<Node>) -> Result<(), String> {
     let silence = node.shared.borrow().election.silence(now().mono);
     event!("claim", vm = node.me.name, silence_ms = silence);
+    announce_claim(node).await;
     let store = &node.platform.store;
     let table = (store.newest)(Topic::Cell).await.map_err(|e| e.to_string())?;
     let previous = table.items.iter().find_map(owner);
@@ -137,6 +141,10 @@
     {
         let mut shared = node.shared.borrow_mut();
         shared.lead = Some(lead);
+        shared.dispatcher = Some(Dispatcher::new(node.me.name.clone(), epoch, bounds.lease));
+        shared.polled.clear();
+        shared.relays_checked = 0;
+        shared.relay.on_epoch(epoch);
         shared.next_seq = seq + 1;
         shared.unavailable_since = 0;
         shared.append_started = 0;
@@ -146,7 +154,6 @@
     event!("leading", epoch = epoch, vm = node.me.name);
     metrics::counter!("claims").increment(1);
     workers::apply_records(node, epoch, &worker_table.items, true);
-    workers::spawn_known(node, epoch);
     store::follow_workers(node, epoch, worker_table.end);
     node.decide_wakeup.notify();
     node.append_wakeup.notify();
--- a/crates/node/src/decide.rs
+++ b/crates/node/src/decide.rs
@@ -7,7 +7,7 @@
 use base::now;
 use lead::Command;
 
-use crate::{state::Node, workers};
+use crate::{dispatch, state::Node, workers};
 
 /// Longest interval between two scheduling rounds.
 const MAX_INTERVAL: Duration = Duration::from_millis(50);
@@ -37,7 +37,9 @@
         if may {
             lead.tick(time);
         }
-        (lead.epoch, lead.take_commands(), lead.deposed.clone())
+        let (epoch, commands) = (lead.epoch, lead.take_commands());
+        let deposed = lead.deposed.clone();
+        (epoch, dispatch::route(&mut shared, commands), deposed)
     };
     if let Some(why) = deposed {
         node.depose(&why);
@@ -46,12 +48,13 @@
     for command in commands {
         spawn_local(execute(Rc::clone(node), epoch, command));
     }
+    dispatch::run(node, time);
     node.append_wakeup.notify();
 }
 
 /// Executes one command and passes the reply to the leader state, if this VM still
 /// leads in `epoch`.
-async fn execute(node: Rc<Node>, epoch: u64, command: Command) {
+pub(crate) async fn execute(node: Rc<Node>, epoch: u64, command: Command) {
     let workers = &node.platform.workers;
     match command {
         Command::Start(worker, start) => {
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -9,7 +9,7 @@
 use wire::Method;
 
 use crate::{
-    msg::{Work, WorkReply, WorkRequest},
+    msg::{PeerRequest, Work, WorkReply, WorkRequest},
     state::Node,
 };
 
@@ -130,7 +130,7 @@
     let next_hop = node.shared.borrow().election.next_hop(time);
     let Some(vm) = next_hop.filter(|vm| vm.name != node.me.name) else { return Attempt::Unsent };
     let link = node.link(&vm);
-    let request = WorkRequest { work: work.clone(), relay };
+    let request = PeerRequest::Work(WorkRequest { work: work.clone(), relay });
     let left = deadline.saturating_sub(time).clamp(100, FORWARD_TIMEOUT);
     match link.call::<_, WorkReply>(Method::Work, &request, Duration::from_millis(left)).await {
         Ok(Some(reply)) => Attempt::Replied(reply),
--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -4,16 +4,14 @@
 use base::{Millis, Now, event, now};
 use elect::{Heartbeat, Purpose};
 
-use crate::{claim, manifest, send::send, state::Node};
+use crate::{
+    claim, manifest,
+    send::{send, send_all},
+    state::Node,
+};
 
 /// Interval of the ticker.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
-/// Interval of a leader's heartbeats to all other VMs.
-const LEADER_INTERVAL: Millis = 150;
-/// Interval of a follower's heartbeats to the leader.
-const FOLLOWER_INTERVAL: Millis = 400;
-/// Interval of a follower's heartbeats to all other VMs.
-const BROADCAST_INTERVAL: Millis = 1_000;
 /// Store outage after which a leader hands over to a VM that can reach the store.
 const MAX_STORE_OUTAGE: Millis = 400;
 /// Interval between two takeover requests.
@@ -62,9 +60,12 @@
             shared.confirmed_at = time.mono;
         }
         if epoch > known {
+            shared.relay.on_epoch(epoch);
             event!("leader_heard", epoch = epoch, from = from.name);
         }
-        (purpose == Purpose::Query).then(|| shared.election.heartbeat(Purpose::Report, time.mono))
+        // A new leader needs to know at once which VMs are alive.
+        let replies = purpose == Purpose::Query || epoch > known;
+        replies.then(|| shared.election.heartbeat(Purpose::Report, time.mono))
     };
     let deposed = node.shared.borrow().lead.as_ref().is_some_and(|lead| lead.epoch < epoch);
     if deposed {
@@ -82,10 +83,6 @@
 /// State of the ticker. Times are monotonic milliseconds, 0 before the first event.
 #[derive(Debug, Default)]
 struct Ticker {
-    /// Last heartbeats to any VM.
-    sent_at: Millis,
-    /// Last heartbeats to all other VMs.
-    broadcast_at: Millis,
     /// Last takeover request.
     takeover_at: Millis,
     /// Previous tick.
@@ -126,7 +123,8 @@
     ticker.ticked_at = now.mono;
     let alone = {
         let mut shared = node.shared.borrow_mut();
-        let alone = shared.lead.is_some() && shared.election.heartbeat_targets(now.mono).is_empty();
+        let alone = shared.lead.is_some() && shared.election.is_alone();
+        shared.election.expire_peers(now.mono);
         if alone {
             shared.confirmed_at = now.mono;
         }
@@ -135,7 +133,7 @@
     if !alone {
         request_takeover(node, ticker, now).await;
     }
-    send_heartbeats(node, ticker, now).await;
+    send_heartbeats(node, now).await;
     manifest::fetch(node);
     claim::claim_if_due(node);
 }
@@ -163,31 +161,8 @@
     }
 }
 
-/// Sends heartbeats as due: to all VMs as the leader, with a query, and once per broadcast
-/// interval; otherwise only to the leader.
-async fn send_heartbeats(node: &Rc<Node>, ticker: &mut Ticker, now: Now) {
-    let (heartbeat, targets) = {
-        let mut shared = node.shared.borrow_mut();
-        let query = shared.election.should_query(now.mono);
-        let purpose = if query { Purpose::Query } else { Purpose::Report };
-        let heartbeat = shared.election.heartbeat(purpose, now.mono);
-        let all = query || now.mono >= ticker.broadcast_at + BROADCAST_INTERVAL;
-        let interval = if heartbeat.leading { LEADER_INTERVAL } else { FOLLOWER_INTERVAL };
-        let due = now.mono >= ticker.sent_at + interval;
-        if !all && !due {
-            return;
-        }
-        ticker.sent_at = now.mono;
-        let to_all = all || heartbeat.leading;
-        if all {
-            ticker.broadcast_at = now.mono;
-        }
-        let leader = heartbeat.leader.as_ref().map(|vm| vm.name.clone());
-        let mut targets = shared.election.heartbeat_targets(now.mono);
-        targets.retain(|vm| to_all || Some(&vm.name) == leader.as_ref());
-        (heartbeat, targets)
-    };
-    for vm in targets {
-        send(node, &vm, &heartbeat).await;
-    }
+/// Sends the heartbeats that are due.
+async fn send_heartbeats(node: &Rc<Node>, now: Now) {
+    let (heartbeat, targets) = node.shared.borrow_mut().election.due_heartbeats(now.mono);
+    send_all(node, &heartbeat, &targets).await;
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,11 +5,13 @@
 mod append;
 mod claim;
 mod decide;
+mod dispatch;
 mod error;
 mod front;
 mod heartbeats;
 mod manifest;
 mod msg;
+mod relaying;
 mod rpc;
 mod send;
 mod shutdown;
@@ -53,6 +55,7 @@
         store::spawn_vms(&node),
         decide::spawn(&node),
         append::spawn(&node),
+        relaying::spawn(&node),
     ];
     Ok(Running { peers: server.addr, node, _server: server, _loops: loops })
 }
--- a/crates/node/src/msg.rs
+++ b/crates/node/src/msg.rs
@@ -1,6 +1,7 @@
 use base::Name;
 use job::{Queue, Spec};
 use port::Reply;
+use relay::{Orders, Report};
 use serde::{Deserialize, Serialize};
 
 /// Work that a caller requests of the leader.
@@ -17,6 +18,17 @@
     Pending(Name),
 }
 
+/// A call of another entry VM.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) enum PeerRequest {
+    /// Work for the leader. The reply is a [`WorkReply`].
+    Work(WorkRequest),
+    /// Orders to a relay. The reply tells whether they were accepted.
+    Orders(Orders),
+    /// Report of a relay. The reply is a [`relay::ReportReply`].
+    Report(Report),
+}
+
 /// Work forwarded to another VM.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct WorkRequest {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -1,6 +1,6 @@
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
 };
 
@@ -16,6 +16,7 @@
 use lead::Lead;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use port::Platform;
+use relay::{Dispatcher, Relay};
 use snafu::ResultExt;
 use wire::Link;
 
@@ -60,6 +61,7 @@
     pub(crate) socket: UdpSocket,
     pub(crate) decide_wakeup: Notify,
     pub(crate) append_wakeup: Notify,
+    pub(crate) report_wakeup: Notify,
     pub(crate) shared: RefCell<Shared>,
     /// Number of callers' requests in flight.
     pub(crate) inflight: Cell<usize>,
@@ -72,6 +74,14 @@
     pub(crate) election: Election,
     /// Leader state, `None` while this VM is not the leader.
     pub(crate) lead: Option<Lead>,
+    /// The leader's sessions with relays, `None` while this VM is not the leader.
+    pub(crate) dispatcher: Option<Dispatcher>,
+    /// Workers that this leader polls itself.
+    pub(crate) polled: BTreeSet<Name>,
+    /// When this leader last checked its relays.
+    pub(crate) relays_checked: Millis,
+    /// This VM as a relay for the leader.
+    pub(crate) relay: Relay,
     /// Sequence number of the next append.
     pub(crate) next_seq: u64,
     pub(crate) manifest: Option<Rc<Manifest>>,
@@ -83,8 +93,6 @@
     pub(crate) unavailable_since: Millis,
     /// Last confirmation that another VM follows this leader; 0 if there is none.
     pub(crate) confirmed_at: Millis,
-    /// Whether a claim of leadership is running.
-    pub(crate) claiming: bool,
     /// Whether a request for another VM's manifest is in flight.
     pub(crate) fetching: bool,
     /// Last request for another VM's manifest.
@@ -103,7 +111,13 @@
         let bind_addr = settings.peers;
         let domain = settings.domain.clone();
         let addr = settings.announce.unwrap_or(bind_addr);
-        let me = Vm { name: settings.vm.clone(), domain, addr, incarnation: time.unix };
+        let me = Vm {
+            name: settings.vm.clone(),
+            domain,
+            addr,
+            incarnation: time.unix,
+            cpu_capacity: settings.cpu_capacity,
+        };
         let socket =
             UdpSocket::bind(bind_addr).await.context(DatagramsSnafu { addr: bind_addr })?;
         let recorder = PrometheusBuilder::new().build_recorder();
@@ -112,17 +126,20 @@
             log::debug!("event=metrics_shared reason=recorder_already_set");
         }
         event!("start", vm = me.name, domain = settings.domain, power = settings.cpu_capacity);
-        let election = Election::new(me.clone(), settings.cpu_capacity, time.mono);
+        let election = Election::new(me.clone(), time.mono);
         let shared = Shared {
             election,
             lead: None,
+            dispatcher: None,
+            polled: BTreeSet::new(),
+            relays_checked: 0,
+            relay: Relay::default(),
             next_seq: 0,
             manifest: None,
             waiters: Vec::new(),
             append_started: 0,
             unavailable_since: 0,
             confirmed_at: 0,
-            claiming: false,
             fetching: false,
             fetched_at: 0,
             links: BTreeMap::new(),
@@ -134,6 +151,7 @@
             socket,
             decide_wakeup: Notify::new(),
             append_wakeup: Notify::new(),
+            report_wakeup: Notify::new(),
             shared: RefCell::new(shared),
             inflight: Cell::new(0),
             metrics,
@@ -180,6 +198,7 @@
     pub(crate) fn depose(&self, why: &str) {
         let mut shared = self.shared.borrow_mut();
         let Some(lead) = shared.lead.take() else { return };
+        shared.dispatcher = None;
         event!("deposed", epoch = lead.epoch, why = why);
         metrics::counter!("deposed").increment(1);
         lead::reset_load_metrics();
--- a/crates/node/src/workers.rs
+++ b/crates/node/src/workers.rs
@@ -9,7 +9,7 @@
 /// Delay after a worker did not reply.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Interval at which the durability of completions is polled.
-const UNACKED_POLL_INTERVAL: Duration = Duration::from_millis(8);
+pub(crate) const UNACKED_POLL_INTERVAL: Duration = Duration::from_millis(8);
 /// Polls after which a worker is contacted even if its completions are not durable.
 const MAX_UNACKED_POLLS: usize = 40;
 
@@ -17,7 +17,6 @@
 /// not contain become unlisted.
 pub(crate) fn apply_records(node: &Rc<Node>, epoch: u64, items: &[Item], complete: bool) {
     let time = now();
-    let mut new = Vec::new();
     {
         let mut shared = node.shared.borrow_mut();
         let Some(lead) = shared.lead_in(epoch) else { return };
@@ -32,52 +31,53 @@
                 continue;
             };
             seen.insert(item.key.clone());
-            if lead.on_worker_info(info, time) {
-                new.push(item.key.clone());
-            }
+            lead.on_worker_info(info, time);
         }
         if complete {
             let known: Vec<Name> = lead.workers.keys().cloned().collect();
             known.iter().filter(|id| !seen.contains(*id)).for_each(|id| lead.on_unlisted(id, time));
         }
     }
-    for id in new {
-        spawn_poller(node, epoch, id);
-    }
+    // New workers get a relay or a poller with the next check.
+    node.shared.borrow_mut().relays_checked = 0;
     node.append_wakeup.notify();
     node.decide_wakeup.notify();
 }
 
-/// Spawns the loops for the workers known from the records of previous leaders.
-pub(crate) fn spawn_known(node: &Rc<Node>, epoch: u64) {
-    let known: Vec<Name> = {
+/// Spawns the loop that renews the leases of a worker's runs and reads its lists, while
+/// this VM leads in `epoch` and the worker is known and has no relay.
+pub(crate) fn spawn_poller(node: &Rc<Node>, epoch: u64, id: Name) {
+    let new = {
         let mut shared = node.shared.borrow_mut();
-        let Some(lead) = shared.lead_in(epoch) else { return };
-        lead.workers
-            .values()
-            .filter(|w| w.record_batch == Some(0))
-            .map(|w| w.info.id.clone())
-            .collect()
+        shared.lead_in(epoch).is_some() && shared.polled.insert(id.clone())
     };
-    for id in known {
-        spawn_poller(node, epoch, id);
+    if !new {
+        return;
     }
-}
-
-/// Spawns the loop that renews the leases of a worker's runs and reads its lists, while
-/// this VM leads in `epoch` and the worker is known.
-fn spawn_poller(node: &Rc<Node>, epoch: u64, id: Name) {
     let node = Rc::clone(node);
     spawn_local(async move {
-        while let Some(replied) = poll(&node, epoch, &id, false).await {
+        while !relayed(&node, epoch, &id)
+            && let Some(replied) = poll(&node, epoch, &id, false).await
+        {
             if !replied {
                 sleep(RETRY_DELAY).await;
             }
             wait_durable(&node, epoch, &id).await;
         }
+        let mut shared = node.shared.borrow_mut();
+        if shared.lead_in(epoch).is_some() {
+            shared.polled.remove(&id);
+        }
     });
 }
 
+/// Returns whether a relay polls a worker.
+fn relayed(node: &Node, epoch: u64, id: &Name) -> bool {
+    let mut shared = node.shared.borrow_mut();
+    shared.lead_in(epoch).is_some()
+        && shared.dispatcher.as_ref().is_some_and(|dispatcher| dispatcher.is_relayed(id))
+}
+
 /// Waits, for a limited time, until the completions listed by a worker are durable, since
 /// it would list them again otherwise.
 async fn wait_durable(node: &Rc<Node>, epoch: u64, id: &Name) {
--- a/crates/port/src/worker.rs
+++ b/crates/port/src/worker.rs
@@ -2,6 +2,7 @@
 
 use base::{Millis, Name, Size};
 use job::TaskId;
+use serde::{Deserialize, Serialize};
 
 use crate::Call;
 
@@ -30,7 +31,7 @@
 }
 
 /// Address of the worker that a call is meant for.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerAddr {
     /// Identifier; the worker refuses calls meant for another.
     pub id: Name,
@@ -39,7 +40,7 @@
 }
 
 /// Command to start a run of a task.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Start {
     /// Task to run.
     pub task: TaskId,
@@ -58,7 +59,7 @@
 }
 
 /// Command to stop a run.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Stop {
     /// Task of the run.
     pub task: TaskId,
@@ -69,7 +70,7 @@
 }
 
 /// Command to throttle a run.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Throttle {
     /// Task of the run.
     pub task: TaskId,
@@ -96,7 +97,7 @@
 }
 
 /// Status of a run on a worker.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RunStatus {
     /// Task of the run.
     pub task: TaskId,
@@ -112,7 +113,7 @@
 }
 
 /// Outcome of a run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// The task is done.
     Done,
@@ -129,7 +130,7 @@
 }
 
 /// Record of a run that has ended on a worker.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Completion {
     /// Number of the record; it rises within one incarnation of the worker.
     pub number: u64,
@@ -157,7 +158,7 @@
 }
 
 /// Why a worker refused a command. Nothing was done.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Refusal {
     /// The worker has seen a higher fencing token.
     Fence,
@@ -178,7 +179,7 @@
 }
 
 /// Why a command was not confirmed.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WorkerError {
     /// The worker refused it; with the worker clock where the reply has one.
     Refused(Refusal, Option<Millis>),
