--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,7 +2,6 @@
 
 mod cmd;
 mod error;
-mod logs;
 
 use std::process::ExitCode;
 
--- a/crates/elect/src/elect.rs
+++ b/crates/elect/src/elect.rs
@@ -8,6 +8,7 @@
 use crate::{
     Heartbeat, Purpose, Vm,
     fanout::{CORE_INTERVAL, Schedule},
+    overload::Overload,
 };
 
 /// Leader silence after which the other VMs are queried about it, for a VM that gets the
@@ -96,7 +97,8 @@
     /// Latency of the store, in milliseconds.
     pub store_latency: u32,
     /// Smoothed lateness of this process's ticks, in milliseconds.
-    pub lag: u32,
+    lag: u32,
+    overload: Overload,
     /// Version of this VM's manifest, 0 if it has none.
     pub manifest_version: u64,
     /// Whether this VM is shutting down; it then makes no claim.
@@ -127,6 +129,7 @@
             store_reachable: false,
             store_latency: 0,
             lag: 0,
+            overload: Overload::default(),
             manifest_version: 0,
             leaving: false,
             claiming: false,
@@ -209,6 +212,7 @@
     pub fn step_down(&mut self, now: Millis) {
         if self.leading {
             self.leader = None;
+            self.overload.on_relief(self.lag >= IDLE_LAG, now);
         }
         self.leading = false;
         self.takeover_requested = false;
@@ -284,11 +288,22 @@
         }
     }
 
+    /// Updates the smoothed lateness of this process's ticks, in milliseconds.
+    pub fn set_lag(&mut self, lag: u32, now: Millis) {
+        self.lag = lag;
+        self.overload.update(lag >= IDLE_LAG, now);
+    }
+
     /// Returns whether this leader should hand over because of load: past its minimum
-    /// tenure it lags, and a candidate has at least twice its effective CPU capacity.
+    /// tenure it lags, and a candidate has at least twice its effective CPU capacity. A VM that
+    /// is no stronger than one that could not bear the load is none.
     pub fn should_hand_over(&self, now: Millis) -> bool {
         let settled = self.leading && now >= self.leading_since + MIN_TENURE;
-        let best = self.candidates(now).map(|heartbeat| heartbeat.cpu_capacity).max().unwrap_or(0);
+        let fresh = self.peers.values().filter(|peer| now < peer.received_at + MAX_CANDIDATE_AGE);
+        let overloaded = fresh.map(|peer| &peer.heartbeat).filter(|h| h.overloaded);
+        let too_weak = overloaded.map(|h| h.from.cpu_capacity).max().unwrap_or(0);
+        let strong = self.candidates(now).filter(|h| h.from.cpu_capacity > too_weak);
+        let best = strong.map(|heartbeat| heartbeat.cpu_capacity).max().unwrap_or(0);
         settled && self.lag >= IDLE_LAG && best >= 2 * self.effective_capacity()
     }
 
@@ -352,10 +367,11 @@
     }
 
     /// Returns the last heartbeats of the VMs to which the leader may hand work: those that
-    /// have recently sent one and are not shutting down.
+    /// have recently sent one, follow it and are not shutting down.
     pub fn helpers(&self, now: Millis) -> Vec<&Heartbeat> {
         let fresh = self.peers.values().filter(|peer| now < peer.received_at + MAX_CANDIDATE_AGE);
-        fresh.map(|peer| &peer.heartbeat).filter(|heartbeat| !heartbeat.leaving).collect()
+        let heartbeats = fresh.map(|peer| &peer.heartbeat);
+        heartbeats.filter(|h| h.epoch == self.epoch && !h.leaving).collect()
     }
 
     /// Returns a VM with a newer manifest, preferably in the same failure domain.
@@ -401,6 +417,7 @@
             cpu_capacity: self.effective_capacity(),
             manifest_version: self.manifest_version,
             leaving: self.leaving,
+            overloaded: self.overload.is_recent(now),
             claiming: self.claiming,
             interval: 0,
             others,
--- a/crates/elect/src/heartbeat.rs
+++ b/crates/elect/src/heartbeat.rs
@@ -62,6 +62,8 @@
     pub manifest_version: u64,
     /// Whether the sender is shutting down.
     pub leaving: bool,
+    /// Whether the sender has recently given up leadership because the load was too high.
+    pub overloaded: bool,
     /// Whether a claim of the sender is running.
     pub claiming: bool,
     /// Interval in milliseconds at which the receiver gets this leader's heartbeats; 0 in a
--- a/crates/elect/src/lib.rs
+++ b/crates/elect/src/lib.rs
@@ -5,6 +5,7 @@
 mod elect;
 mod fanout;
 mod heartbeat;
+mod overload;
 
 pub use crate::{
     elect::{Election, Leader},
--- a/crates/elect/tests/fanout.rs
+++ b/crates/elect/tests/fanout.rs
@@ -21,6 +21,8 @@
     claim: Option<(Millis, u64)>,
     claims: usize,
     traffic: Cell<usize>,
+    /// Lag of the VM while it leads and while it does not, in milliseconds.
+    lag: (u32, u32),
 }
 
 struct Cluster {
@@ -50,6 +52,7 @@
             claim: None,
             claims: 0,
             traffic: Cell::new(0),
+            lag: (0, 0),
         };
         let members = (0..size).map(member).collect();
         Cluster { now, epoch: 0, members, in_flight: VecDeque::new() }
@@ -104,6 +107,12 @@
         if !member.alive {
             return;
         }
+        let lag = if member.election.leading { member.lag.0 } else { member.lag.1 };
+        member.election.set_lag(lag, now);
+        let takeover = member.election.should_hand_over(now).then(|| {
+            let successor = member.election.successor(now).into_iter().map(|vm| (vm, 0)).collect();
+            (member.election.heartbeat(Purpose::TakeOver, now), successor)
+        });
         let (heartbeat, targets) = member.election.due_heartbeats(now);
         let started = member.claim.is_none() && member.election.should_claim(now);
         if started {
@@ -127,6 +136,9 @@
             }
         }
         self.send(index, &heartbeat, targets);
+        if let Some((heartbeat, successor)) = takeover {
+            self.send(index, &heartbeat, successor);
+        }
         if let Some((heartbeat, all)) = announced {
             self.send(index, &heartbeat, all);
         }
@@ -240,3 +252,34 @@
         }
     }
 }
+
+#[test]
+fn leadership_does_not_go_round_between_vms_that_cannot_bear_the_load() {
+    struct Case {
+        name: &'static str,
+        /// Lag of the first leader while it does not lead, in milliseconds.
+        idle_lag: u32,
+        /// Lag of the other VMs while they lead.
+        others_lag: u32,
+        /// Changes of leadership in 40 s.
+        changes: std::ops::RangeInclusive<usize>,
+    }
+    let cases = [
+        Case { name: "no VM can bear it", idle_lag: 0, others_lag: 200, changes: 1..=2 },
+        Case { name: "the leader alone is slow", idle_lag: 200, others_lag: 0, changes: 1..=1 },
+        Case { name: "another VM can bear it", idle_lag: 0, others_lag: 0, changes: 1..=1 },
+    ];
+    for case in cases {
+        let mut cluster = Cluster::start(30);
+        cluster.time_to_leader();
+        let first = cluster.leaders()[0];
+        for (index, member) in cluster.members.iter_mut().enumerate() {
+            let slow = if index == first { (200, case.idle_lag) } else { (case.others_lag, 0) };
+            member.lag = slow;
+        }
+        let before = cluster.epoch;
+        cluster.run(40_000);
+        let changes = (cluster.epoch - before) as usize;
+        assert!(case.changes.contains(&changes), "{}: {changes} changes", case.name);
+    }
+}
--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -89,6 +89,8 @@
     pub(crate) journal: Journal,
     /// Tasks to be placed, by job.
     pub(crate) waiting: BTreeMap<Name, Vec<TaskId>>,
+    /// Workers of which a relay may have to be told something.
+    pub(crate) touched: BTreeSet<Name>,
     /// Commands decided since the last call of [`Lead::take_commands`].
     pub(crate) commands: Vec<Command>,
     /// Interference between images on the same worker.
@@ -137,6 +139,7 @@
             bounds,
             journal: Journal::open(),
             waiting: BTreeMap::new(),
+            touched: BTreeSet::new(),
             commands: Vec::new(),
             model: InterferenceModel::default(),
             policies: BTreeMap::new(),
--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -42,6 +42,7 @@
             worker.record_batch = Some(self.journal.add_worker(&id));
         }
         worker.info = WorkerInfo { incarnation: worker.info.incarnation, ..info.clone() };
+        self.touched.insert(id.clone());
         if restarted {
             self.on_restart(&id, info.incarnation, now);
         }
@@ -149,6 +150,22 @@
         })
     }
 
+    /// Returns the workers with a relay that may have changed since the last call, `None` for
+    /// one that no longer exists.
+    pub fn take_touched(&mut self) -> Vec<(Name, Option<RelayedWorker>)> {
+        let touched = std::mem::take(&mut self.touched);
+        let mut changes = Vec::new();
+        for id in touched {
+            let state = self.relayed_worker(&id);
+            // Completions become durable later.
+            if self.workers.get(&id).is_some_and(|worker| !worker.pending_acks.is_empty()) {
+                self.touched.insert(id.clone());
+            }
+            changes.push((id, state));
+        }
+        changes
+    }
+
     /// Handles the loss of a worker's relay, which may have renewed its leases until
     /// `granted_until`.
     pub fn on_relay_closed(&mut self, id: &Name, granted_until: Millis) {
@@ -170,6 +187,7 @@
         worker.lease_expiry = worker.lease_expiry.max(poll.deadline.unwrap_or(0));
         // A worker that replies gets a permission at once, if its relay has none.
         worker.renewed_by_relay = poll.renews || reply.is_ok();
+        self.touched.insert(poll.worker.clone());
         let received = Now { mono: poll.received_at, ..now };
         self.on_poll(&poll.worker, poll.sent_at, reply, received);
     }
--- a/crates/lead/src/watch.rs
+++ b/crates/lead/src/watch.rs
@@ -55,6 +55,7 @@
         event!("leases_expired", worker = id, runs = worker.runs.len(), listed = worker.listed);
         // Its earlier lists are void: it has to list its runs again before it gets work.
         worker.synced = false;
+        self.touched.insert(id.clone());
         let runs: Vec<TaskId> = worker.runs.keys().cloned().collect();
         for task in runs {
             self.drop_run(id, &task, "lease_expired");
@@ -105,6 +106,7 @@
         }
         event!("worker_forgotten", worker = id);
         self.workers.remove(id);
+        self.touched.insert(id.clone());
         self.journal.delete_worker(id);
     }
 }
--- a/crates/cli/src/logs.rs
+++ b/crates/logs/src/lib.rs
@@ -1,3 +1,5 @@
+//! Log output: lines of `key=value` pairs, written by a thread of their own.
+
 use std::{
     collections::VecDeque,
     io::{self, Write},
@@ -16,7 +18,7 @@
 /// Log lines to be written by a separate thread, so that a reader that stops reading the
 /// output never blocks the process. Lines are written whole or counted as dropped.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct Buffer {
+pub struct Buffer {
     lines: Arc<Mutex<Lines>>,
     /// Bytes taken from `lines` that the output has not accepted yet.
     unwritten: Arc<Mutex<VecDeque<u8>>>,
@@ -28,18 +30,27 @@
     dropped: u64,
 }
 
+impl Lines {
+    fn is_empty(&self) -> bool {
+        self.bytes.is_empty() && self.dropped == 0
+    }
+}
+
 impl Buffer {
     fn lines(&self) -> MutexGuard<'_, Lines> {
         lock(&self.lines)
     }
 
     /// Writes the buffered lines to standard output.
-    pub(crate) fn flush(&self) {
+    pub fn flush(&self) {
+        if self.lines().is_empty() && lock(&self.unwritten).is_empty() {
+            return;
+        }
         self.write_to(&mut io::stdout().lock());
     }
 
     /// Writes the buffered lines, as far as the output accepts them. The rest is kept.
-    fn write_to(&self, output: &mut dyn Write) {
+    pub fn write_to(&self, output: &mut dyn Write) {
         let mut unwritten = lock(&self.unwritten);
         if !write_some(&mut unwritten, output) {
             return;
@@ -69,7 +80,7 @@
             _ => return false,
         }
     }
-    // `Stdout` is buffered by line.
+    // `Stdout` buffers the last line, and keeps it if the pipe is full.
     output.flush().is_ok()
 }
 
@@ -91,7 +102,7 @@
 
 /// Starts logging lines of `key=value` pairs to standard error, or if `stdout`, buffered to
 /// standard output. `RUST_LOG` sets the levels; `info` is the default.
-pub(crate) fn init(stdout: bool) -> Buffer {
+pub fn init(stdout: bool) -> Buffer {
     let env = Env::default().default_filter_or("info");
     let buffer = Buffer::default();
     let target = if stdout { Target::Pipe(Box::new(buffer.clone())) } else { Target::Stderr };
--- a/crates/node/src/decide.rs
+++ b/crates/node/src/decide.rs
@@ -21,8 +21,11 @@
     spawn_local(async move {
         loop {
             let _ = timeout(MAX_INTERVAL, node.decide_wakeup.receiver.recv()).await;
+            let started = now().mono;
             decide(&node);
-            sleep(MIN_INTERVAL).await;
+            // Rounds that take long leave as much time to everything else.
+            let took = Duration::from_millis(now().mono.saturating_sub(started));
+            sleep(MIN_INTERVAL + took).await;
         }
     })
 }
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -129,9 +129,8 @@
 /// Tells the dispatcher what has changed about the workers with a relay.
 fn update_workers(shared: &mut Shared) {
     let (Some(lead), Some(dispatcher)) = (&mut shared.lead, &mut shared.dispatcher) else { return };
-    let assigned: Vec<Name> = dispatcher.assigned().cloned().collect();
-    for id in assigned {
-        match lead.relayed_worker(&id) {
+    for (id, state) in lead.take_touched() {
+        match state {
             Some(worker) => dispatcher.update(worker),
             None => dispatcher.release(&id),
         }
--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -115,7 +115,7 @@
     if ticker.ticked_at > 0 {
         ticker.lag += LAG_SMOOTHING * (late as f64 - ticker.lag);
     }
-    node.shared.borrow_mut().election.lag = ticker.lag as u32;
+    node.shared.borrow_mut().election.set_lag(ticker.lag as u32, now.mono);
     if ticker.lag > LAG_THRESHOLD && now.mono >= ticker.logged_at + LAG_LOG_INTERVAL {
         ticker.logged_at = now.mono;
         event!("lagging", ms = ticker.lag as Millis, leads = node.shared.borrow().lead.is_some());
--- a/crates/node/src/relaying.rs
+++ b/crates/node/src/relaying.rs
@@ -14,7 +14,7 @@
 use crate::{msg::PeerRequest, state::Node, workers::UNACKED_POLL_INTERVAL};
 
 /// Pause before a report, so that it contains what happens at about the same time.
-const REPORT_PAUSE: Duration = Duration::from_millis(12);
+const REPORT_PAUSE: Duration = Duration::from_millis(15);
 /// Longest interval between two checks for a report to send.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// The same on a VM without a session.
--- a/crates/relay/src/assign.rs
+++ b/crates/relay/src/assign.rs
@@ -3,7 +3,7 @@
 use base::Name;
 
 /// Workers for which one more VM of a failure domain becomes a relay.
-const WORKERS_PER_RELAY: usize = 64;
+const WORKERS_PER_RELAY: usize = 128;
 
 /// A VM that may become a relay.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -11,7 +11,7 @@
 /// Time without a report after which a relay is given up.
 const MAX_RELAY_SILENCE: Millis = 700;
 /// Time for the first report of a relay.
-const OPENING_TIMEOUT: Millis = 1_500;
+const OPENING_TIMEOUT: Millis = 800;
 /// Low bits of a session's number, which count the sessions of one epoch.
 const SESSION_COUNTER_BITS: u32 = 24;
 /// Most new or changed workers in one message.
@@ -145,11 +145,6 @@
         self.session_of(worker).is_some_and(|session| session.reported_at > 0)
     }
 
-    /// Returns the assigned workers.
-    pub fn assigned(&self) -> impl Iterator<Item = &Name> {
-        self.by_worker.keys()
-    }
-
     /// Returns the number of workers assigned to a VM.
     pub fn load(&self, vm: &Name) -> usize {
         let of_vm = self.sessions.values().filter(|session| session.vm == *vm);
