Handed-over leadership is won; only workers that have improved are searched

A full fleet with many waiting steps was searched whole for each step and round.

Change: a leader that has asked another VM to take over holds its appends back for 0.7 s, once in 1.5 s. Between full searches, every 200 ms, only workers that have changed are compared with a step that had no place. Relays serve deployments of more than 500 workers (direct-workers).

--- a/crates/conf/src/platform.rs
+++ b/crates/conf/src/platform.rs
@@ -62,7 +62,7 @@
 const BOUND_KEYS: &[&str] = &["hold-ms", "remote", "restore-ms", "impact-ms", "grace-s"];
 
 /// Default of [`PlatformSettings::direct_workers`].
-const DEFAULT_DIRECT_WORKERS: usize = 128;
+const DEFAULT_DIRECT_WORKERS: usize = 500;
 
 impl PlatformSettings {
     /// Reads and checks a settings file.
@@ -149,7 +149,7 @@
     let Some(text) = text else { return default };
     text.parse().unwrap_or_else(|_| {
         let problem = format!("not a whole number: {text:?}");
-        reader.faults.push(Fault::new(section, key, problem, "write a number like 128"));
+        reader.faults.push(Fault::new(section, key, problem, "write a number like 500"));
         default
     })
 }
--- a/crates/elect/src/elect.rs
+++ b/crates/elect/src/elect.rs
@@ -18,6 +18,11 @@
 const CLAIM_AFTER: Millis = 5 * CORE_INTERVAL;
 /// Extra claim delay of VMs outside the core, which do not know all better candidates.
 const REMOTE_CLAIM_DELAY: Millis = 1_000;
+/// Time for which a leader holds back its appends once it has requested a takeover. The
+/// successor's claim succeeds only if nothing is appended between its read and its append.
+const APPEND_HOLD: Millis = 700;
+/// Interval at which appends may be held back, so that a leader without a successor goes on.
+const APPEND_HOLD_INTERVAL: Millis = 1_500;
 /// Pause before the next claim after another VM has announced one.
 const CLAIM_HOLD: Millis = 1_000;
 /// Delay after process start before the first claim if no leader is known.
@@ -87,6 +92,8 @@
     queried_at: Millis,
     /// Whether a leader has requested that this VM take over.
     takeover_requested: bool,
+    /// When this leader last began to hold back its appends.
+    append_hold_at: Millis,
     /// When this VM became the leader.
     leading_since: Millis,
     pub(crate) schedule: Schedule,
@@ -123,6 +130,7 @@
             backoff_until: 0,
             queried_at: 0,
             takeover_requested: false,
+            append_hold_at: 0,
             leading_since: 0,
             schedule: Schedule::default(),
             leading: false,
@@ -203,6 +211,7 @@
         self.epoch = epoch;
         self.leader = Some(Leader { epoch, vm: self.me.clone() });
         self.leading_since = now;
+        self.append_hold_at = 0;
         self.leading = true;
         self.contact_at = now;
         self.takeover_requested = false;
@@ -324,6 +333,18 @@
         self.leader.as_ref()
     }
 
+    /// Records that this leader has requested a takeover.
+    pub fn on_takeover_requested(&mut self, now: Millis) {
+        if now >= self.append_hold_at + APPEND_HOLD_INTERVAL {
+            self.append_hold_at = now;
+        }
+    }
+
+    /// Returns whether this leader holds back its appends for a successor.
+    pub fn holds_appends(&self, now: Millis) -> bool {
+        self.append_hold_at > 0 && now < self.append_hold_at + APPEND_HOLD
+    }
+
     /// Returns for how long this VM has led, in milliseconds.
     pub fn tenure(&self, now: Millis) -> Millis {
         now.saturating_sub(self.leading_since)
--- a/crates/elect/tests/claim.rs
+++ b/crates/elect/tests/claim.rs
@@ -247,3 +247,27 @@
         assert_eq!(election.reads_manifest(10_000), case.reads, "{}", case.name);
     }
 }
+
+#[test]
+fn a_leader_holds_back_appends_for_a_successor_but_not_for_ever() {
+    struct Case {
+        name: &'static str,
+        /// Takeover requests, in milliseconds after the first.
+        requests: &'static [Millis],
+        at: Millis,
+        holds: bool,
+    }
+    let cases = [
+        Case { name: "no request", requests: &[], at: 0, holds: false },
+        Case { name: "requested", requests: &[0], at: 300, holds: true },
+        Case { name: "not taken over in time", requests: &[0], at: 700, holds: false },
+        Case { name: "requested again soon", requests: &[0, 200, 600, 800], at: 900, holds: false },
+        Case { name: "requested again later", requests: &[0, 800, 1_600], at: 1_700, holds: true },
+    ];
+    for case in cases {
+        let mut election = Election::new(vm("a"), 0);
+        election.become_leader(5, 10_000);
+        case.requests.iter().for_each(|at| election.on_takeover_requested(20_000 + at));
+        assert_eq!(election.holds_appends(20_000 + case.at), case.holds, "{}", case.name);
+    }
+}
--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -1,4 +1,7 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    cell::Cell,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use base::{Millis, Name, Now, event};
 use job::{Job, JobRecord, Queue, Spec, State, StepId, TaskId};
@@ -105,6 +108,13 @@
     pub(crate) search_cursor: Name,
     /// When the load was last logged.
     pub(crate) load_reported: Millis,
+    /// Number of workers compared with tasks so far.
+    pub(crate) evaluated: Cell<u64>,
+    /// Number of the current placement pass.
+    pub(crate) pass: u64,
+    /// Steps for which no worker was found: the pass and the time of the last search of all
+    /// workers.
+    pub(crate) searched: BTreeMap<StepId, (u64, Millis)>,
     /// Since when the tasks of each step have waited for a worker.
     pub(crate) waiting_since: BTreeMap<StepId, Millis>,
     /// When `waiting_since` was last updated.
@@ -147,6 +157,9 @@
             stragglers_checked: now.mono,
             search_cursor: "".into(),
             load_reported: 0,
+            evaluated: Cell::new(0),
+            pass: 0,
+            searched: BTreeMap::new(),
             waiting_since: BTreeMap::new(),
             waits_updated: 0,
             reservations: BTreeMap::new(),
@@ -362,6 +375,11 @@
         self.settled
     }
 
+    /// Returns how many times a worker has been compared with a task so far.
+    pub fn evaluations(&self) -> u64 {
+        self.evaluated.get()
+    }
+
     /// Returns the commands decided since the last call.
     pub fn take_commands(&mut self) -> Vec<Command> {
         std::mem::take(&mut self.commands)
--- a/crates/lead/src/place.rs
+++ b/crates/lead/src/place.rs
@@ -13,6 +13,7 @@
     /// Starts waiting tasks on workers with enough free capacity.
     pub(crate) fn place_tasks(&mut self, now: Now) {
         let settled = self.settled(now);
+        self.begin_pass();
         let mut pass = Pass::default();
         for id in self.scheduling_order(now) {
             if pass.starts >= MAX_STARTS {
@@ -97,6 +98,9 @@
         let Some(job) = self.jobs.get(&id.job) else { return };
         if let Some(step) = job.step(id) {
             pass.note_unplaced(&job.queue.service, step, job.queue.needs_ticket);
+            if !step.gang && !job.queue.needs_ticket {
+                self.note_searched(id.step_id(), now);
+            }
         }
         if self.needs_ticket(id) {
             self.request_ticket(id, now);
--- a/crates/lead/src/preemption.rs
+++ b/crates/lead/src/preemption.rs
@@ -87,6 +87,12 @@
             return;
         }
         self.preemption_checked = now.mono;
+        let reserved: Vec<Name> = self.reservations.keys().cloned().collect();
+        for id in reserved {
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.improved = true;
+            }
+        }
         let waiting = &self.waiting_since;
         // Expired reservations are kept for one more round, so that the worker is open to all
         // steps before it can be reserved again.
--- a/crates/lead/src/search.rs
+++ b/crates/lead/src/search.rs
@@ -1,7 +1,7 @@
 use std::{collections::BTreeMap, ops::Bound};
 
-use base::{Name, Now, Size};
-use job::{Step, TaskId};
+use base::{Millis, Name, Now, Size};
+use job::{Step, StepId, TaskId};
 
 use crate::{Lead, Run, Worker};
 
@@ -14,6 +14,9 @@
 /// Share of their requested CPU that service tasks are assumed to leave idle.
 const SERVICE_IDLE_SHARE: f64 = 0.5;
 
+/// Interval at which all workers are searched for a step that could not be placed, in
+/// milliseconds. In between, only workers that have improved are.
+const FULL_SEARCH_INTERVAL: Millis = 200;
 /// Number of eligible workers compared for one task.
 const MAX_CANDIDATES: usize = 96;
 
@@ -70,7 +73,9 @@
             return Some(place);
         }
         // The cached candidates may be used up before all tasks of the step are placed.
-        let mut candidates = self.find_candidates(id, now, &|_, _| true)?;
+        let since = self.searched_pass(&id.step_id(), now);
+        let improved = |worker: &Worker| worker.improved_pass > since;
+        let mut candidates = self.find_candidates(id, now, &improved)?;
         let place = self.best_candidate(id, &mut candidates, now);
         *cache = Some(SearchCache { occurrence: id.occurrence, step: id.step, candidates });
         place
@@ -84,16 +89,49 @@
         now: Now,
         filter: &dyn Fn(&Name, Size) -> bool,
     ) -> Option<Name> {
-        let mut candidates = self.find_candidates(id, now, filter)?;
+        let accepted = |worker: &Worker| filter(&worker.info.id, worker.free());
+        let mut candidates = self.find_candidates(id, now, &accepted)?;
         self.best_candidate(id, &mut candidates, now)
     }
 
+    /// Starts a placement pass: notes which workers have improved since the last one.
+    pub(crate) fn begin_pass(&mut self) {
+        self.pass += 1;
+        // Reserved workers open up to other steps, or hold what is made free on them.
+        for id in self.reservations.keys() {
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.improved = true;
+            }
+        }
+        for worker in self.workers.values_mut().filter(|worker| worker.improved) {
+            worker.improved = false;
+            worker.improved_pass = self.pass;
+        }
+    }
+
+    /// Notes that no worker was found for a step in this pass.
+    pub(crate) fn note_searched(&mut self, id: StepId, now: Now) {
+        let since = self.searched_pass(&id, now);
+        let at = match self.searched.get(&id) {
+            Some((_, at)) if since > 0 => *at,
+            _ => now.mono,
+        };
+        self.searched.insert(id, (self.pass, at));
+    }
+
+    /// Returns the pass since which workers have to have improved to be searched for a step, 0
+    /// if all are to be searched.
+    fn searched_pass(&self, id: &StepId, now: Now) -> u64 {
+        let searched = self.searched.get(id).filter(|(_, at)| now.mono < at + FULL_SEARCH_INTERVAL);
+        searched.map_or(0, |(pass, _)| *pass)
+    }
+
     /// Collects and scores candidate workers for the tasks of a step.
     fn find_candidates(
         &self,
         id: &TaskId,
         now: Now,
-        filter: &dyn Fn(&Name, Size) -> bool,
+        filter: &dyn Fn(&Worker) -> bool,
     ) -> Option<Candidates> {
         let req = self.requirements(id)?;
         let interference = |service_image: &Name| {
@@ -105,7 +143,7 @@
         let from = self.search_cursor.clone();
         let after = self.workers.range::<Name, _>((Bound::Excluded(&from), Bound::Unbounded));
         let before = self.workers.range::<Name, _>((Bound::Unbounded, Bound::Included(&from)));
-        let workers = after.chain(before).map(|(_, w)| w).filter(|w| filter(&w.info.id, w.free()));
+        let workers = after.chain(before).map(|(_, w)| w).filter(|w| filter(w));
         let evaluated = workers.filter_map(|w| {
             self.evaluate(id, &req, &losses, w, now).map(|score| (score, w.info.id.clone()))
         });
@@ -137,6 +175,7 @@
         worker: &Worker,
         now: Now,
     ) -> Option<f64> {
+        self.evaluated.set(self.evaluated.get() + 1);
         let usable = worker.usable(self.durable_batch(), now.mono) && req.accepts(worker);
         let ticket = || !req.needs_ticket || self.ticket(id, &worker.info.id, now).is_some();
         if !usable || self.reserved(&worker.info.id, id, now) || !ticket() {
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -82,6 +82,10 @@
     pub(crate) exposure: Exposure,
     /// When `exposure` was last updated.
     pub(crate) exposure_at: Millis,
+    /// Whether it may have become able to hold more since the last placement pass.
+    pub(crate) improved: bool,
+    /// Number of the placement pass before which it last was.
+    pub(crate) improved_pass: u64,
     /// Factor by which it is slower than other workers, learned from runs.
     pub slowdown: f64,
 }
@@ -116,6 +120,8 @@
             recent_starts: Vec::new(),
             exposure: Exposure::new(),
             exposure_at: 0,
+            improved: true,
+            improved_pass: 0,
             slowdown: 1.0,
         }
     }
@@ -201,6 +207,7 @@
     /// Removes a run and releases its capacity.
     pub(crate) fn remove(&mut self, task: &TaskId) -> Option<Run> {
         let run = self.runs.remove(task)?;
+        self.improved = true;
         self.used = self.used.minus(run.allocation());
         if run.best_effort {
             self.best_effort_cpu = self.best_effort_cpu.saturating_sub(run.size.cpu);
@@ -214,6 +221,7 @@
 
     /// Recomputes `target_missed` and the lowest headroom of each service image.
     pub(crate) fn update_headrooms(&mut self) {
+        self.improved = true;
         self.headrooms.clear();
         self.target_missed = self.runs.values().any(|run| run.missed_since > 0);
         for run in self.runs.values().filter(|run| run.latency_target > 0) {
--- a/crates/node/src/append.rs
+++ b/crates/node/src/append.rs
@@ -32,6 +32,9 @@
 /// nothing to append or this VM is not the leader.
 fn next_batch(node: &Rc<Node>) -> Option<(u64, u64, Batch)> {
     let mut shared = node.shared.borrow_mut();
+    if shared.election.holds_appends(now().mono) {
+        return None;
+    }
     let lead = shared.lead.as_mut()?;
     let (epoch, batch) = (lead.epoch, lead.take_batch()?);
     let seq = shared.next_seq;
--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -157,6 +157,7 @@
     ticker.takeover_at = now.mono;
     if let Some((vm, heartbeat)) = request {
         event!("hand_over", epoch = heartbeat.epoch, to = vm.name);
+        node.shared.borrow_mut().election.on_takeover_requested(now.mono);
         send(node, &vm, &heartbeat).await;
     }
 }
