--- a/crates/lead/src/commands.rs
+++ b/crates/lead/src/commands.rs
@@ -65,14 +65,14 @@
                 if why == Refusal::Ticket {
                     self.discard_ticket(id, name);
                 }
-                self.drop_run(name, id, &format!("{why:?}").to_lowercase());
+                self.drop_run(name, id, &format!("{why:?}").to_lowercase(), now);
                 if why == Refusal::Room {
                     self.commands.push(Command::Poll(name.clone()));
                 }
             }
             Err(WorkerError::Unsent(_)) => {
                 worker.paused_until = now.mono + UNHEALTHY_PAUSE;
-                self.drop_run(name, id, "unsent");
+                self.drop_run(name, id, "unsent", now);
             }
             Err(WorkerError::InDoubt(why)) => {
                 if run.state == RunState::Starting {
--- a/crates/lead/src/completions.rs
+++ b/crates/lead/src/completions.rs
@@ -141,10 +141,18 @@
     }
 
     /// Drops a run that certainly does not exist and queues its task again.
-    pub(crate) fn drop_run(&mut self, name: &Name, id: &TaskId, why: &str) {
+    pub(crate) fn drop_run(&mut self, name: &Name, id: &TaskId, why: &str, now: Now) {
         let Some(worker) = self.workers.get_mut(name) else { return };
         let Some(run) = worker.remove(id) else { return };
-        event!("run_gone", task = id, worker = name, run = run.run_id, why = why);
+        event!(
+            "run_gone",
+            task = id,
+            worker = name,
+            run = run.run_id,
+            why = why,
+            state = format!("{:?}", run.state).to_lowercase(),
+            confirmed = run.confirmed_before(now.mono)
+        );
         if let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id)) {
             task.workers.retain(|other| other != name);
         }
--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -44,7 +44,7 @@
         worker.info = WorkerInfo { incarnation: worker.info.incarnation, ..info.clone() };
         self.touched.insert(id.clone());
         if restarted {
-            self.on_restart(&id, info.incarnation, now);
+            self.on_restart(&id, info.incarnation, "record", now);
         }
         new
     }
@@ -60,10 +60,17 @@
 
     /// Handles the restart of a worker: its runs are gone, but commands that got no reply
     /// may still reach the new incarnation.
-    fn on_restart(&mut self, id: &Name, incarnation: u64, now: Now) {
+    fn on_restart(&mut self, id: &Name, incarnation: u64, source: &str, now: Now) {
         let batch = self.journal.add_worker(id);
         let Some(worker) = self.workers.get_mut(id) else { return };
-        event!("worker_restarted", worker = id, born = incarnation, runs = worker.runs.len());
+        event!(
+            "worker_restarted",
+            worker = id,
+            born = incarnation,
+            source = source,
+            age = now.unix.saturating_sub(incarnation),
+            runs = worker.runs.len()
+        );
         worker.info.incarnation = incarnation;
         worker.record_batch = Some(batch);
         worker.synced = false;
@@ -90,7 +97,7 @@
             }
         }
         for task in gone {
-            self.drop_run(id, &task, "worker_reborn");
+            self.drop_run(id, &task, "worker_reborn", now);
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
         let late_starts = worker.late_starts(now.mono);
@@ -231,7 +238,7 @@
                 return;
             }
             if incarnation > worker.info.incarnation {
-                self.on_restart(id, incarnation, now);
+                self.on_restart(id, incarnation, "list", now);
             }
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
@@ -257,7 +264,7 @@
         }
         self.record_measurements(id, now);
         if !full {
-            self.drop_unlisted(id, &listed, sent);
+            self.drop_unlisted(id, &listed, sent, now);
         }
         if let Some(worker) = self.workers.get_mut(id).filter(|worker| !worker.synced) {
             worker.synced = true;
@@ -345,7 +352,13 @@
 
     /// Drops runs that the worker confirmed before `sent`, when its list was requested, and
     /// that are not on the list.
-    fn drop_unlisted(&mut self, id: &Name, listed: &BTreeSet<(TaskId, u64)>, sent: Millis) {
+    fn drop_unlisted(
+        &mut self,
+        id: &Name,
+        listed: &BTreeSet<(TaskId, u64)>,
+        sent: Millis,
+        now: Now,
+    ) {
         let Some(worker) = self.workers.get(id) else { return };
         let missing = |(task, run): &(&TaskId, &Run)| {
             let confirmed = matches!(run.state, RunState::Running | RunState::Stopping);
@@ -357,7 +370,7 @@
         let gone: Vec<TaskId> =
             worker.runs.iter().filter(missing).map(|(task, _)| task.clone()).collect();
         for task in gone {
-            self.drop_run(id, &task, "not_listed");
+            self.drop_run(id, &task, "not_listed", now);
         }
     }
 }
--- a/crates/lead/src/run.rs
+++ b/crates/lead/src/run.rs
@@ -82,6 +82,14 @@
         self.retry_at = now;
     }
 
+    /// Returns how long ago the worker last confirmed a command for the run, as text for logs.
+    pub(crate) fn confirmed_before(&self, now: Millis) -> String {
+        match self.confirmed_at {
+            0 => "never".to_owned(),
+            at => now.saturating_sub(at).to_string(),
+        }
+    }
+
     /// Returns the capacity that the run takes up on its worker; a best-effort run
     /// takes up no CPU.
     pub(crate) fn allocation(&self) -> Size {
--- a/crates/lead/src/watch.rs
+++ b/crates/lead/src/watch.rs
@@ -58,7 +58,7 @@
         self.touched.insert(id.clone());
         let runs: Vec<TaskId> = worker.runs.keys().cloned().collect();
         for task in runs {
-            self.drop_run(id, &task, "lease_expired");
+            self.drop_run(id, &task, "lease_expired", now);
         }
     }
 
