--- a/crates/lead/tests/fleet/mod.rs
+++ b/crates/lead/tests/fleet/mod.rs
@@ -242,6 +242,46 @@
         self.lead.on_poll(&id.into(), sent, Err(fault), time);
     }
 
+    /// Delivers the record of a worker that is about to leave, so that its runs are stopped.
+    pub(crate) fn leave(&mut self, id: &str) {
+        let time = self.time();
+        let n = id[1..].parse().expect("a number");
+        let info = WorkerInfo { draining: true, remaining: Some(0), ..worker_info(n) };
+        self.lead.on_worker_info(info, time);
+    }
+
+    /// Delivers the record of a worker that has restarted as `incarnation`.
+    pub(crate) fn restart(&mut self, id: &str, incarnation: u64) {
+        let time = self.time();
+        let n = id[1..].parse().expect("a number");
+        self.lead.on_worker_info(WorkerInfo { incarnation, ..worker_info(n) }, time);
+    }
+
+    /// Delivers a list of runs that was requested at `sent` from an incarnation of a worker.
+    pub(crate) fn list_since(
+        &mut self,
+        id: &str,
+        sent: Millis,
+        incarnation: u64,
+        running: &[&Start],
+    ) {
+        let time = self.time();
+        let row = |start: &&Start| RunStatus {
+            task: start.task.clone(),
+            run: start.run,
+            checkpoint: "".into(),
+            percent: 10,
+            metric: 0,
+        };
+        let reply = PollReply {
+            clock: self.now,
+            incarnation: Some(incarnation),
+            running: running.iter().map(row).collect(),
+            completions: Vec::new(),
+        };
+        self.lead.on_poll(&id.into(), sent, Ok(reply), time);
+    }
+
     pub(crate) fn drain(&mut self, id: &str) {
         let time = self.time();
         let n = id[1..].parse().expect("a number");
--- /dev/null
+++ b/crates/lead/tests/restart.rs
@@ -0,0 +1,84 @@
+//! Restarts of workers that keep their identifier.
+
+#[allow(dead_code)]
+mod fleet;
+
+use base::Size;
+use fleet::{Fleet, Sent};
+use job::{Spec, Step};
+
+/// Incarnation of a worker after its restart.
+const RESTARTED: u64 = 2;
+
+fn spec(count: u32) -> Spec {
+    let size = Size { cpu: 1_000, memory: 100, accel: 0 };
+    let step = Step { count, size, estimate: 1_000, ..Step::default() };
+    Spec { text: "t".into(), steps: vec![step], repeat: None }
+}
+
+/// Returns a fleet of two workers, one of which has confirmed the start of the only task.
+fn fleet_with_run() -> (Fleet, Sent) {
+    let mut fleet = Fleet::open(2);
+    fleet.accept("a", spec(1));
+    let start = fleet.starts().remove(0);
+    fleet.reply_start(&start, Ok(1));
+    (fleet, start)
+}
+
+/// Guards against two runs of a task: a worker that had restarted confirmed a start, the leader
+/// learned of the restart afterwards, took the run for one of the earlier incarnation, and
+/// started the task elsewhere.
+#[test]
+fn a_run_confirmed_before_the_restart_is_known_is_not_started_elsewhere() {
+    struct Case<'a> {
+        name: &'a str,
+        /// Whether the run is being stopped, which the worker has confirmed.
+        stopped: bool,
+        /// How the leader learns of the restart.
+        news: &'a dyn Fn(&mut Fleet, &Sent),
+    }
+    let by_record = |fleet: &mut Fleet, sent: &Sent| fleet.restart(&sent.0, RESTARTED);
+    // The list was made before the worker started the run.
+    let by_list = |fleet: &mut Fleet, sent: &Sent| {
+        let sent_at = fleet.now() - 1_000;
+        fleet.list_since(&sent.0, sent_at, RESTARTED, &[]);
+    };
+    let cases = [
+        Case { name: "running, by its record", stopped: false, news: &by_record },
+        Case { name: "running, by an earlier list", stopped: false, news: &by_list },
+        Case { name: "stopping, by its record", stopped: true, news: &by_record },
+        Case { name: "stopping, by an earlier list", stopped: true, news: &by_list },
+    ];
+    for case in cases {
+        let (mut fleet, sent) = fleet_with_run();
+        if case.stopped {
+            fleet.leave(&sent.0);
+            assert_eq!(fleet.stops().len(), 1, "{}", case.name);
+            fleet.reply_stop(&sent, Ok(1));
+        }
+        fleet.advance(10);
+        (case.news)(&mut fleet, &sent);
+        fleet.store();
+        assert!(fleet.starts().is_empty(), "{}: it may run on the worker", case.name);
+        let now = fleet.now();
+        fleet.list_since(&sent.0, now, RESTARTED, &[&sent.1]);
+        fleet.store();
+        assert!(fleet.starts().is_empty(), "{}: it runs on the worker", case.name);
+        fleet.advance(10);
+        let now = fleet.now();
+        fleet.list_since(&sent.0, now, RESTARTED, &[]);
+        fleet.store();
+        assert_eq!(fleet.starts().len(), 1, "{}: it does not run there any more", case.name);
+    }
+}
+
+/// Waiting for the next list would delay the tasks of every worker that restarts.
+#[test]
+fn a_run_listed_by_the_earlier_incarnation_is_started_again_at_once() {
+    let (mut fleet, sent) = fleet_with_run();
+    fleet.advance(10);
+    fleet.list_known(&sent.0);
+    fleet.restart(&sent.0, RESTARTED);
+    fleet.store();
+    assert_eq!(fleet.starts().len(), 1);
+}
