Runs confirmed by a restarted worker are kept until it has listed its runs

Cause: a worker that had crashed and started again under the same identifier confirmed a start; the leader learned of the restart only afterwards, took every confirmed run for one of the earlier incarnation, and started the task on another worker 20 ms later. Neither the start command (expect-instance is the identifier) nor its reply names the incarnation, so the order in which the leader hears of things says nothing about which incarnation has a run. Only a list of runs does.

A run now keeps the newest incarnation that has listed it. At a restart, those that an earlier incarnation has listed are dropped at once, as before; the others stay until the next list, which is requested at once. Deadlines that were computed on the clock of the earlier incarnation may have granted the new one its longest lease, so that leases are held to last that long; without that a run in doubt on a worker that never comes back would wait for ever.

Ruled out: a late second execution by the old incarnation (it was down), a start without a reply (those are kept already), comparing the worker's wall clock with ours (it may jump by seconds).

--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -28,6 +28,8 @@
 pub struct Bounds {
     /// Duration of the leases granted to workers.
     pub lease: Millis,
+    /// Longest lease that a worker accepts.
+    pub max_lease: Millis,
     /// Time for which a leader without contact to other VMs goes on renewing leases.
     pub isolation_limit: Millis,
     /// Factor by which a task takes longer outside the rack that holds its data.
@@ -43,6 +45,7 @@
     fn default() -> Bounds {
         Bounds {
             lease: 5_000,
+            max_lease: 10_000,
             isolation_limit: 2_000,
             remote_factor: 1.5,
             restore_time: 600,
--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -58,10 +58,12 @@
         }
     }
 
-    /// Handles the restart of a worker: its runs are gone, but commands that got no reply
-    /// may still reach the new incarnation.
+    /// Handles the restart of a worker. Only the runs that an earlier incarnation has listed
+    /// are certainly gone. A command may have reached the new incarnation before the restart
+    /// was known, or may still reach it: its next list tells.
     fn on_restart(&mut self, id: &Name, incarnation: u64, source: &str, now: Now) {
         let batch = self.journal.add_worker(id);
+        let max_lease = self.bounds.max_lease;
         let Some(worker) = self.workers.get_mut(id) else { return };
         event!(
             "worker_restarted",
@@ -80,6 +82,7 @@
         worker.last_completion = 0;
         worker.acked = 0;
         worker.pending_acks.clear();
+        worker.hold_earlier_leases(max_lease, now.mono);
         let unconfirmed: BTreeSet<(TaskId, u64)> = worker
             .unconfirmed_starts
             .iter()
@@ -93,13 +96,19 @@
                 RunState::Stopping if run.confirmed_at == 0 || may_start => {
                     run.resend_stop(now.mono)
                 }
-                _ => gone.push(task.clone()),
+                _ if run.incarnation.is_some_and(|listed| listed < incarnation) => {
+                    gone.push(task.clone());
+                }
+                _ => {}
             }
         }
         for task in gone {
             self.drop_run(id, &task, "worker_reborn", now);
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
+        if !worker.runs.is_empty() {
+            self.commands.push(Command::Poll(id.clone()));
+        }
         let late_starts = worker.late_starts(now.mono);
         for (task, run) in late_starts {
             self.add_late_start(id, task, run);
@@ -260,7 +269,7 @@
         let listed: BTreeSet<(TaskId, u64)> =
             reply.running.iter().map(|row| (row.task.clone(), row.run)).collect();
         for row in reply.running {
-            self.on_running(id, row, now);
+            self.on_running(id, row, reply.incarnation, now);
         }
         self.record_measurements(id, now);
         if !full {
@@ -276,14 +285,21 @@
         }
     }
 
-    fn on_running(&mut self, id: &Name, row: RunStatus, now: Now) {
+    /// Handles a run listed by an incarnation of a worker.
+    fn on_running(&mut self, id: &Name, row: RunStatus, incarnation: Option<u64>, now: Now) {
         let Some(worker) = self.workers.get_mut(id) else { return };
+        let key = (row.task.clone(), row.run);
         let known = worker.runs.get(&row.task).map(|run| run.run_id);
         match known {
             Some(run_id) if run_id == row.run => self.update_run(id, row, now),
             Some(_) => {}
             None => self.adopt(id, row, now),
         }
+        let (task, run_id) = key;
+        let listed = self.workers.get_mut(id).and_then(|worker| worker.runs.get_mut(&task));
+        if let Some(run) = listed.filter(|run| run.run_id == run_id) {
+            run.incarnation = run.incarnation.max(incarnation);
+        }
     }
 
     /// Updates a known run.
--- a/crates/lead/src/run.rs
+++ b/crates/lead/src/run.rs
@@ -35,6 +35,9 @@
     pub started_at: Millis,
     /// When the worker last confirmed a start or stop command; 0 until it has.
     pub confirmed_at: Millis,
+    /// Newest incarnation of the worker that has listed the run; `None` until one has. Replies
+    /// to commands do not name the incarnation.
+    pub incarnation: Option<u64>,
     /// When to repeat a command that got no reply.
     pub retry_at: Millis,
     /// Whether a command for the run awaits its reply.
@@ -65,6 +68,7 @@
             image: step.image.clone(),
             started_at: now,
             confirmed_at: 0,
+            incarnation: None,
             retry_at: 0,
             in_flight: true,
             percent: 0,
--- a/crates/lead/src/watch.rs
+++ b/crates/lead/src/watch.rs
@@ -44,7 +44,7 @@
         if worker.renewed_by_relay {
             return;
         }
-        let Some(end) = worker.leases_end_at().filter(|_| worker.lease_expiry > 0) else { return };
+        let Some(end) = worker.leases_end_at() else { return };
         // Runs may have completed before their leases expired, which only the worker knows.
         // It counts as gone only if it left a request unanswered shortly before the expiry or
         // later.
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -50,6 +50,9 @@
     pub list_clock: Millis,
     /// Latest lease expiry sent to it, on the worker clock; 0 if none was.
     pub lease_expiry: Millis,
+    /// When leases that the present incarnation may have been granted on the clock of an
+    /// earlier one have certainly expired; 0 if there are none.
+    pub(crate) earlier_leases_end: Millis,
     /// Whether a relay may be renewing its leases, so that `lease_expiry` may be outdated.
     pub(crate) renewed_by_relay: bool,
     /// Start commands without a reply, with run id and time. They may still reach a
@@ -90,6 +93,11 @@
     pub slowdown: f64,
 }
 
+/// Returns the time after which a lease with `left` on the worker clock has certainly expired.
+fn expiry(left: Millis) -> Millis {
+    (left as f64 / MIN_CLOCK_RATE) as Millis + EXPIRY_MARGIN
+}
+
 impl Worker {
     pub(crate) fn new(info: WorkerInfo) -> Worker {
         Worker {
@@ -105,6 +113,7 @@
             clock: None,
             list_clock: 0,
             lease_expiry: 0,
+            earlier_leases_end: 0,
             renewed_by_relay: false,
             unconfirmed_starts: Vec::new(),
             last_completion: 0,
@@ -154,11 +163,22 @@
     }
 
     /// Returns when all leases granted to it have certainly expired, on the leader's
-    /// clock; `None` before the first reading of the worker clock.
+    /// clock; `None` if it was granted none.
     pub fn leases_end_at(&self) -> Option<Millis> {
-        let (clock, at) = self.clock?;
-        let left = self.lease_expiry.saturating_sub(clock) as f64 / MIN_CLOCK_RATE;
-        Some(at + left as Millis + EXPIRY_MARGIN)
+        let clock = self.clock.filter(|_| self.lease_expiry > 0);
+        let granted = clock.map(|(clock, at)| at + expiry(self.lease_expiry.saturating_sub(clock)));
+        let earlier = Some(self.earlier_leases_end).filter(|end| *end > 0);
+        granted.max(earlier)
+    }
+
+    /// Notes that commands issued before a restart was known may have granted, or may still
+    /// grant, leases to the new incarnation. Their deadlines are on the clock of the earlier
+    /// one, so that only the longest lease limits them.
+    pub(crate) fn hold_earlier_leases(&mut self, max_lease: Millis, now: Millis) {
+        let in_doubt = |run: &Run| matches!(run.state, RunState::Starting | RunState::Unconfirmed);
+        let late = !self.unconfirmed_starts.is_empty() || self.runs.values().any(in_doubt);
+        let delay = if late { MAX_COMMAND_DELAY } else { 0 };
+        self.earlier_leases_end = now + delay + expiry(max_lease);
     }
 
     /// Records a reply that carried a reading of the worker clock. Readings
--- a/crates/lead/tests/restart.rs
+++ b/crates/lead/tests/restart.rs
@@ -82,3 +82,24 @@
     fleet.store();
     assert_eq!(fleet.starts().len(), 1);
 }
+
+/// Guards against a task that waits for ever: the worker does not come back to list its runs.
+#[test]
+fn a_run_in_doubt_after_a_restart_is_started_again_once_its_lease_has_expired() {
+    let (mut fleet, sent) = fleet_with_run();
+    let other = if &*sent.0 == "w0" { "w1" } else { "w0" };
+    fleet.advance(10);
+    fleet.restart(&sent.0, RESTARTED);
+    fleet.store();
+    let restarted_at = fleet.now();
+    let mut started = None;
+    while started.is_none() && fleet.now() < restarted_at + 20_000 {
+        fleet.advance(100);
+        fleet.list(other, &[], &[]);
+        fleet.fail_poll(&sent.0);
+        started = (!fleet.starts().is_empty()).then(|| fleet.now() - restarted_at);
+    }
+    let started = started.expect("started again");
+    // The longest lease, on a clock that runs 2 % slow.
+    assert!((10_200..11_000).contains(&started), "started again after {started} ms");
+}
--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -132,6 +132,7 @@
     let configured = node.settings.limits;
     let bounds = Bounds {
         lease: MAX_LEASE.min(configured.max_lease),
+        max_lease: configured.max_lease,
         isolation_limit: MAX_UNCONFIRMED,
         remote_factor: configured.remote_factor,
         restore_time: configured.restore_time,
