A worker that may have restarted is sent no acknowledgement

Workers number their completions anew in each incarnation, but the leader and its relays went on sending the number of the earlier one until they had heard of the restart. A new incarnation that had run a task by then forgot its completion before it had listed it; the run was missing from the list, and the task that was done was started again (TWICE: a start after an end that has been taken note of).

The number is now sent only while the worker is known to be in the incarnation it was read from: not after a poll that got no reply, nor once the reply to a start shows a worker clock that has started anew, until the worker has listed its runs again. The latter also holds back further starts.

Evidence: the simulated workers announced their restart the moment they crashed, which is why no schedule had shown either fault.

--- a/crates/lead/src/commands.rs
+++ b/crates/lead/src/commands.rs
@@ -46,6 +46,14 @@
                     run.confirmed_at = now.mono;
                     run.progress_at = now.mono;
                 }
+                let sent = run.started_at;
+                if worker.is_behind(clock, sent) {
+                    event!("worker_clock_behind", worker = name, run = run_id, clock = clock);
+                    worker.may_be_new = true;
+                    worker.synced = false;
+                    self.touched.insert(name.clone());
+                    self.commands.push(Command::Poll(name.clone()));
+                }
                 worker.record_reply(clock, now.mono);
                 if let Some(job) = self.jobs.get_mut(&id.job) {
                     job.started = true;
--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -149,7 +149,7 @@
         let deadline = worker.clock_now(now.mono).filter(|_| renew).map(|clock| clock + lease);
         worker.lease_expiry = worker.lease_expiry.max(deadline.unwrap_or(0));
         let wait = if at_once || !worker.synced { 0 } else { worker.list_wait() };
-        Some((worker.addr(), Poll { token, acked: worker.acked, deadline, wait }))
+        Some((worker.addr(), Poll { token, acked: worker.ack_cursor(), deadline, wait }))
     }
 
     /// Returns a worker as its relay has to know it; `None` if the worker is unknown.
@@ -160,7 +160,7 @@
         Some(RelayedWorker {
             worker: worker.addr(),
             incarnation: worker.info.incarnation,
-            acked: worker.acked,
+            acked: worker.ack_cursor(),
             wait: worker.list_wait(),
             synced: worker.synced,
         })
@@ -237,6 +237,7 @@
             Err(_) => {
                 if let Some(worker) = self.workers.get_mut(id) {
                     worker.unanswered_at = worker.unanswered_at.max(sent);
+                    worker.may_be_new = true;
                 }
                 return;
             }
@@ -252,6 +253,7 @@
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.record_reply(reply.clock, now.mono);
+        worker.may_be_new = false;
         // Replies may arrive out of order.
         let stale = reply.clock < worker.list_clock;
         worker.list_clock = worker.list_clock.max(reply.clock);
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -20,6 +20,8 @@
 pub(crate) const MAX_COMMAND_DELAY: Millis = 14_000;
 /// Time without a reply after which a worker gets no new work.
 const MAX_SILENCE: Millis = 2_000;
+/// Amount by which a reading of the worker clock may be behind the estimate.
+const CLOCK_TOLERANCE: Millis = 400;
 
 /// A worker as the leader sees it. Times are on the leader's monotonic clock, unless
 /// they are said to be on the worker's.
@@ -65,6 +67,9 @@
     pub pending_acks: VecDeque<(u64, u64)>,
     /// Highest number of a completion that the worker may forget.
     pub acked: u64,
+    /// Whether it may have restarted since its last list, so that numbers of completions may
+    /// be those of an earlier incarnation.
+    pub(crate) may_be_new: bool,
     /// When the worker last replied.
     pub replied_at: Millis,
     /// When the newest request that got no reply was sent.
@@ -119,6 +124,7 @@
             last_completion: 0,
             pending_acks: VecDeque::new(),
             acked: 0,
+            may_be_new: false,
             replied_at: 0,
             unanswered_at: 0,
             paused_until: 0,
@@ -162,6 +168,21 @@
         self.clock.map(|(clock, at)| clock + now.saturating_sub(at))
     }
 
+    /// Returns whether a clock reading in the reply to a command issued at `sent` is too low for
+    /// the known incarnation: the clock starts anew with each.
+    pub(crate) fn is_behind(&self, reading: Millis, sent: Millis) -> bool {
+        let Some((clock, at)) = self.clock else { return false };
+        let elapsed = sent.saturating_sub(at) as f64 * MIN_CLOCK_RATE;
+        let expected = (clock + elapsed as Millis).saturating_sub(at.saturating_sub(sent));
+        reading + CLOCK_TOLERANCE < expected
+    }
+
+    /// Returns the number up to which the worker may forget its completions. A new incarnation
+    /// numbers them anew: it would forget some that it has never listed.
+    pub(crate) fn ack_cursor(&self) -> u64 {
+        if self.may_be_new { 0 } else { self.acked }
+    }
+
     /// Returns when all leases granted to it have certainly expired, on the leader's
     /// clock; `None` if it was granted none.
     pub fn leases_end_at(&self) -> Option<Millis> {
--- a/crates/lead/tests/restart.rs
+++ b/crates/lead/tests/restart.rs
@@ -6,6 +6,7 @@
 use base::Size;
 use fleet::{Fleet, Sent};
 use job::{Spec, Step};
+use port::Outcome;
 
 /// Incarnation of a worker after its restart.
 const RESTARTED: u64 = 2;
@@ -103,3 +104,47 @@
     // The longest lease, on a clock that runs 2 % slow.
     assert!((10_200..11_000).contains(&started), "started again after {started} ms");
 }
+
+/// Guards against a completion that is lost: the number to acknowledge was that of an earlier
+/// incarnation, and the worker forgot completions that it had never listed.
+#[test]
+fn a_worker_that_may_have_restarted_is_sent_no_acknowledgement() {
+    struct Case {
+        name: &'static str,
+        event: fn(&mut Fleet, &Sent),
+        acked: u64,
+    }
+    let cases = [
+        Case { name: "it replies", event: |_, _| {}, acked: 7 },
+        Case {
+            name: "it did not reply to a poll",
+            event: |fleet, sent| fleet.fail_poll(&sent.0),
+            acked: 0,
+        },
+        Case {
+            name: "its clock has started anew",
+            event: |fleet, sent| fleet.reply_start_at(sent, 40),
+            acked: 0,
+        },
+        Case {
+            name: "its clock runs slow",
+            event: |fleet, sent| fleet.reply_start_at(sent, fleet.now() - 150),
+            acked: 7,
+        },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::open(1);
+        fleet.accept("a", spec(1));
+        let first = fleet.starts().remove(0);
+        fleet.reply_start(&first, Ok(1));
+        fleet.list("w0", &[], &[(7, &first.1, Outcome::Done)]);
+        fleet.accept("b", spec(1));
+        let second = fleet.starts().remove(0);
+        assert_eq!(fleet.poll("w0").acked, 7, "{}", case.name);
+        fleet.advance(500);
+        (case.event)(&mut fleet, &second);
+        assert_eq!(fleet.poll("w0").acked, case.acked, "{}", case.name);
+        fleet.list("w0", &[(&second.1, 0)], &[]);
+        assert_eq!(fleet.poll("w0").acked, 7, "{}: it has listed its runs again", case.name);
+    }
+}
--- a/crates/lead/tests/schedules.rs
+++ b/crates/lead/tests/schedules.rs
@@ -29,6 +29,21 @@
     Case { name: "leaders die", faults: Faults { takeover: 0.3, ..NONE } },
     Case { name: "workers unreachable", faults: Faults { unreachable: 0.4, ..NONE } },
     Case { name: "workers crash", faults: Faults { crash: 0.4, ..NONE } },
+    Case {
+        name: "workers restart before it is known",
+        faults: Faults { crash: 0.8, record_delay: 1_500, ..NONE },
+    },
+    Case {
+        name: "workers restart before it is known, replies lost, leaders die",
+        faults: Faults {
+            crash: 0.6,
+            record_delay: 1_500,
+            lost_reply: 0.1,
+            takeover: 0.1,
+            unreachable: 0.2,
+            ..NONE
+        },
+    },
     Case { name: "store unavailable", faults: Faults { store_outage: 0.2, ..NONE } },
     Case {
         name: "leaders die while tasks fail",
@@ -47,6 +62,7 @@
             takeover: 0.1,
             unreachable: 0.1,
             crash: 0.1,
+            record_delay: 0,
             store_outage: 0.1,
             fail: 0.05,
         },
@@ -60,6 +76,7 @@
             takeover: 0.1,
             unreachable: 0.1,
             crash: 0.0,
+            record_delay: 0,
             store_outage: 0.1,
             fail: 0.05,
         },
@@ -73,6 +90,7 @@
     takeover: 0.0,
     unreachable: 0.0,
     crash: 0.0,
+    record_delay: 0,
     store_outage: 0.0,
     fail: 0.0,
 };
--- a/crates/lead/tests/world/mod.rs
+++ b/crates/lead/tests/world/mod.rs
@@ -39,6 +39,9 @@
     pub(crate) unreachable: f64,
     /// Per second: a worker crashes and restarts.
     pub(crate) crash: f64,
+    /// Longest time after its return for which the record of a restarted worker is not known;
+    /// with 0 it is known from the crash on.
+    pub(crate) record_delay: Millis,
     /// Per second: the store becomes unavailable for 0.5 to 6 s.
     pub(crate) store_outage: f64,
     /// A run fails.
@@ -57,6 +60,7 @@
     Stopped(u64, Name, TaskId, u64, Result<Millis, WorkerError>),
     Listed(u64, Name, Millis, Result<PollReply, WorkerError>),
     Stored(u64, Batch),
+    Announce(Name),
     TakeOver,
 }
 
@@ -230,7 +234,12 @@
             let down_until = self.now + self.rng.random_range(100..4_000);
             let incarnation = self.now;
             self.workers.get_mut(&id).unwrap().crash(incarnation, down_until);
-            self.announce(&id);
+            if faults.record_delay == 0 {
+                self.announce(&id);
+            } else {
+                let delay = self.rng.random_range(0..faults.record_delay);
+                self.schedule(down_until - self.now + delay, Event::Announce(id));
+            }
         }
         if self.chance(faults.store_outage * second) {
             self.outage_until = self.now + self.rng.random_range(500..6_000);
@@ -432,6 +441,7 @@
                     lead.on_stored(&batch, time);
                 }
             }
+            Event::Announce(id) => self.announce(&id),
             Event::TakeOver => self.take_over(),
             Event::Started(..) | Event::Stopped(..) | Event::Listed(..) | Event::Stored(..) => {}
         }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -62,6 +62,9 @@
     replied_at: Millis,
     /// Newest completion that has been reported.
     reported: u64,
+    /// Whether it may have restarted since its last list: acknowledgements hold for one
+    /// incarnation only.
+    may_be_new: bool,
     /// Newest permission to renew the leases, and the newest that has been given up.
     permission: u64,
     given_up: u64,
@@ -118,7 +121,8 @@
         let renews = valid && worker.renews(now);
         let deadline = worker.clock_now(now).filter(|_| renews).map(|clock| clock + lease);
         let wait = if at_once || worker.clock.is_none() { 0 } else { worker.state.wait };
-        let poll = Poll { token, acked: worker.state.acked, deadline, wait };
+        let acked = if worker.may_be_new { 0 } else { worker.state.acked };
+        let poll = Poll { token, acked, deadline, wait };
         Some((worker.state.worker.clone(), poll))
     }
 
@@ -139,8 +143,10 @@
             worker.on_reply(&reply, now);
             worker.list.diff(reply)
         });
-        if let Err(WorkerError::Refused(_, Some(_))) = result {
-            worker.replied_at = now;
+        match result {
+            Ok(_) => {}
+            Err(WorkerError::Refused(_, Some(_))) => worker.replied_at = now,
+            Err(_) => worker.may_be_new = true,
         }
         if !worker.renews(now) {
             worker.given_up = worker.permission;
@@ -313,6 +319,7 @@
             incarnation: None,
             replied_at: now,
             reported: 0,
+            may_be_new: false,
             permission: 0,
             given_up: 0,
         }
@@ -338,6 +345,7 @@
         if self.clock.is_none_or(|(before, _)| reply.clock >= before) {
             self.clock = Some((reply.clock, now));
         }
+        self.may_be_new = false;
         self.replied_at = now;
         let newest = reply.completions.iter().map(|completion| completion.number).max();
         self.reported = self.reported.max(newest.unwrap_or(0));
--- a/crates/relay/tests/sessions.rs
+++ b/crates/relay/tests/sessions.rs
@@ -387,6 +387,11 @@
     pair.give(orders);
     assert_eq!(pair.poll().acked, 7);
     assert!(!pair.relay.unacked(session, &id));
+    // The worker does not reply, so that it may have restarted.
+    pair.reply(pair.now, Err(WorkerError::InDoubt("timeout".into())));
+    assert_eq!(pair.poll().acked, 0);
+    pair.reply(pair.now, Ok(list(1_200, 1, Vec::new())));
+    assert_eq!(pair.poll().acked, 7);
     // The worker restarts, and the leader's newest orders do not know it yet.
     let listed = PollReply { completions: vec![completion(1)], ..list(10, 2, Vec::new()) };
     pair.reply(pair.now, Ok(listed));
