A task with a run that exists or may exist leaves the queue

A start that may still be carried out in a worker's next incarnation, or a run that is found on a worker although it had been given up, marks its task as one that has a run. The task stayed in the queue all the same. Two faults followed from that: it was queued again when the run was settled, and a gang with four entries for two tasks is never complete; and a task whose unwanted run was found was started elsewhere while that run was being stopped.

Both new tests in restart.rs failed before. Single tasks were not harmed by the second entry.

--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -315,6 +315,17 @@
         }
     }
 
+    /// Removes a task from the queue: a run of it exists, or may exist.
+    pub(crate) fn dequeue(&mut self, id: &TaskId) {
+        let task = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id));
+        if let Some(task) = task.filter(|task| task.queued) {
+            task.queued = false;
+            if let Some(waiting) = self.waiting.get_mut(&id.job) {
+                waiting.retain(|task| task != id);
+            }
+        }
+    }
+
     /// Ends a job: removes its tasks from the queue and stops its runs.
     pub(crate) fn end_job(&mut self, id: &Name, now: Now) {
         self.waiting.remove(id);
--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -118,9 +118,9 @@
     /// Adds a run that may still begin on a worker. Its task is not started elsewhere until
     /// the worker has confirmed that the run will not begin.
     fn add_late_start(&mut self, id: &Name, task: TaskId, run: Run) {
+        self.dequeue(&task);
         let state = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(&task));
         if let Some(state) = state.filter(|state| !state.done) {
-            state.queued = false;
             state.workers.push(id.clone());
         }
         if let Some(worker) = self.workers.get_mut(id) {
@@ -340,11 +340,9 @@
                 if !row.checkpoint.is_empty() {
                     task.checkpoint = row.checkpoint.clone();
                 }
-                if wanted {
-                    task.queued = false;
-                }
             }
         }
+        self.dequeue(&row.task);
         let run = Run {
             state: RunState::Running,
             started_at: 0,
@@ -360,9 +358,6 @@
         }
         if wanted {
             event!("adopted", task = row.task, worker = id, run = row.run);
-            if let Some(waiting) = self.waiting.get_mut(&row.task.job) {
-                waiting.retain(|task| *task != row.task);
-            }
         } else {
             self.stop(id, &row.task, "not_wanted");
         }
--- a/crates/lead/tests/restart.rs
+++ b/crates/lead/tests/restart.rs
@@ -6,14 +6,18 @@
 use base::Size;
 use fleet::{Fleet, Sent};
 use job::{Spec, Step};
-use port::Outcome;
+use port::{Outcome, WorkerError};
 
 /// Incarnation of a worker after its restart.
 const RESTARTED: u64 = 2;
 
 fn spec(count: u32) -> Spec {
+    with_gang(count, false)
+}
+
+fn with_gang(count: u32, gang: bool) -> Spec {
     let size = Size { cpu: 1_000, memory: 100, accel: 0 };
-    let step = Step { count, size, estimate: 1_000, ..Step::default() };
+    let step = Step { count, size, estimate: 1_000, gang, ..Step::default() };
     Spec { text: "t".into(), steps: vec![step], repeat: None }
 }
 
@@ -148,3 +152,54 @@
         assert_eq!(fleet.poll("w0").acked, 7, "{}: it has listed its runs again", case.name);
     }
 }
+
+/// Guards against tasks that are queued twice, of which a gang waits for ever: they were queued
+/// when a restart showed that an unconfirmed start might still be carried out.
+#[test]
+fn tasks_whose_starts_may_still_be_carried_out_are_queued_once() {
+    struct Case {
+        name: &'static str,
+        gang: bool,
+    }
+    let cases = [Case { name: "single tasks", gang: false }, Case { name: "a gang", gang: true }];
+    for case in cases {
+        let mut fleet = Fleet::open(1);
+        fleet.accept("a", with_gang(2, case.gang));
+        let starts = fleet.starts();
+        for sent in &starts {
+            fleet.reply_start(sent, Err(WorkerError::InDoubt("timeout".into())));
+        }
+        fleet.commands();
+        settle(&mut fleet, &starts, 1);
+        // The tasks are queued when the restart becomes known, and settled before the next tick.
+        fleet.restart("w0", RESTARTED);
+        settle(&mut fleet, &starts, RESTARTED);
+        fleet.store();
+        assert_eq!(fleet.starts().len(), 2, "{}", case.name);
+    }
+}
+
+/// Confirms the stop commands of all runs and lists none.
+fn settle(fleet: &mut Fleet, starts: &[Sent], incarnation: u64) {
+    for sent in starts {
+        fleet.reply_stop(sent, Ok(1));
+    }
+    fleet.advance(10);
+    let now = fleet.now();
+    fleet.list_since("w0", now, incarnation, &[]);
+}
+
+/// Guards against two runs of a task: a run that the leader had given up was found on its worker
+/// while the task was queued, and the task was started elsewhere before that run had ended.
+#[test]
+fn a_queued_task_waits_for_the_end_of_a_run_that_is_found() {
+    let mut fleet = Fleet::open(2);
+    fleet.accept("a", spec(1));
+    let sent = fleet.starts().remove(0);
+    fleet.reply_start(&sent, Err(WorkerError::Unsent("refused".into())));
+    fleet.list(&sent.0, &[(&sent.1, 0)], &[]);
+    assert!(fleet.starts().is_empty(), "the run found is being stopped");
+    fleet.list(&sent.0, &[], &[(1, &sent.1, Outcome::Stopped)]);
+    fleet.store();
+    assert_eq!(fleet.starts().len(), 1);
+}
