--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -2,7 +2,7 @@
 
 use base::{Millis, Name, Now, event};
 use job::TaskId;
-use port::{Poll, PollReply, Refusal, RunStatus, WorkerAddr, WorkerError, WorkerInfo};
+use port::{Item, Poll, PollReply, Refusal, RunStatus, WorkerAddr, WorkerError, WorkerInfo};
 use relay::{PollTimes, RelayedWorker};
 
 use crate::{Command, Lead, Run, RunState, Worker};
@@ -20,6 +20,34 @@
 const MAX_LISTED_COMPLETIONS: usize = 500;
 
 impl Lead {
+    /// Handles records of the list of workers in the store. If the list is complete, workers
+    /// that it does not contain become unlisted.
+    pub fn on_worker_records(
+        &mut self,
+        items: &[Item],
+        complete: bool,
+        decode: &dyn Fn(&Name, &[u8]) -> Option<WorkerInfo>,
+        now: Now,
+    ) {
+        let mut seen: BTreeSet<Name> = BTreeSet::new();
+        for item in items {
+            if item.value.is_empty() {
+                self.on_unlisted(&item.key, now);
+                continue;
+            }
+            let Some(info) = decode(&item.key, &item.value) else {
+                log::warn!("event=record_skipped key={} reason=unreadable", item.key);
+                continue;
+            };
+            seen.insert(item.key.clone());
+            self.on_worker_info(info, now);
+        }
+        if complete {
+            let known: Vec<Name> = self.workers.keys().cloned().collect();
+            known.iter().filter(|id| !seen.contains(*id)).for_each(|id| self.on_unlisted(id, now));
+        }
+    }
+
     /// Handles the record of a worker in the store. Returns whether the worker was unknown.
     pub fn on_worker_info(&mut self, info: WorkerInfo, now: Now) -> bool {
         let id = info.id.clone();
--- a/crates/node/src/workers.rs
+++ b/crates/node/src/workers.rs
@@ -1,4 +1,4 @@
-use std::{collections::BTreeSet, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use async_std::task::{sleep, spawn_local};
 use base::{Name, now};
@@ -13,30 +13,13 @@
 /// Polls after which a worker is contacted even if its completions are not durable.
 const MAX_UNACKED_POLLS: usize = 40;
 
-/// Applies records of the list of workers. If the list is complete, workers that it does
-/// not contain become unlisted.
+/// Applies records of the list of workers, see [`lead::Lead::on_worker_records`].
 pub(crate) fn apply_records(node: &Rc<Node>, epoch: u64, items: &[Item], complete: bool) {
-    let time = now();
     {
         let mut shared = node.shared.borrow_mut();
         let Some(lead) = shared.lead_in(epoch) else { return };
-        let mut seen: BTreeSet<Name> = BTreeSet::new();
-        for item in items {
-            if item.value.is_empty() {
-                lead.on_unlisted(&item.key, time);
-                continue;
-            }
-            let Some(info) = (node.platform.decode_worker)(&item.key, &item.value) else {
-                log::warn!("event=record_skipped key={} reason=unreadable", item.key);
-                continue;
-            };
-            seen.insert(item.key.clone());
-            lead.on_worker_info(info, time);
-        }
-        if complete {
-            let known: Vec<Name> = lead.workers.keys().cloned().collect();
-            known.iter().filter(|id| !seen.contains(*id)).for_each(|id| lead.on_unlisted(id, time));
-        }
+        let decode = |id: &Name, value: &[u8]| (node.platform.decode_worker)(id, value);
+        lead.on_worker_records(items, complete, &decode, now());
     }
     // New workers get a relay or a poller with the next check.
     node.shared.borrow_mut().relays_checked = 0;
