--- a/crates/lead/tests/fleet/mod.rs
+++ b/crates/lead/tests/fleet/mod.rs
@@ -331,4 +331,21 @@
             self.list(&id, &rows, &[(number, &start, Outcome::Done)]);
         }
     }
+
+    /// Delivers the record of a worker of another size.
+    pub(crate) fn resize(&mut self, id: &str, size: Size) {
+        self.record(id, Some(WorkerInfo { size, ..info(id) }));
+    }
+
+    /// Delivers a record of a worker; one that can't be decoded where it is `None`.
+    pub(crate) fn record(&mut self, id: &str, info: Option<WorkerInfo>) {
+        let items = [Item { key: id.into(), value: vec![1] }];
+        let time = self.time();
+        self.lead.on_worker_records(&items, false, &|_, _| info.clone(), time);
+    }
+}
+
+/// Returns the record of a worker as it is when the fleet opens.
+pub(crate) fn info(id: &str) -> WorkerInfo {
+    worker_info(id[1..].parse().expect("a number"))
 }
--- a/crates/lead/tests/schedules.rs
+++ b/crates/lead/tests/schedules.rs
@@ -30,6 +30,15 @@
     Case { name: "workers unreachable", faults: Faults { unreachable: 0.4, ..NONE } },
     Case { name: "workers crash", faults: Faults { crash: 0.4, ..NONE } },
     Case { name: "store unavailable", faults: Faults { store_outage: 0.2, ..NONE } },
+    Case { name: "workers shrink and grow", faults: Faults { resize: 2.0, ..NONE } },
+    Case {
+        name: "workers shrink and grow while replies are lost and leaders die",
+        faults: Faults { resize: 1.0, lost_reply: 0.1, takeover: 0.2, ..NONE },
+    },
+    Case {
+        name: "workers shrink and grow, crash and become unreachable",
+        faults: Faults { resize: 1.0, crash: 0.2, unreachable: 0.2, ..NONE },
+    },
     Case {
         name: "leaders die while tasks fail",
         faults: Faults { fail: 0.3, takeover: 0.5, ..NONE },
@@ -49,6 +58,7 @@
             crash: 0.1,
             store_outage: 0.1,
             fail: 0.05,
+            resize: 0.0,
         },
     },
     Case {
@@ -62,6 +72,7 @@
             crash: 0.0,
             store_outage: 0.1,
             fail: 0.05,
+            resize: 0.0,
         },
     },
 ];
@@ -75,6 +86,7 @@
     crash: 0.0,
     store_outage: 0.0,
     fail: 0.0,
+    resize: 0.0,
 };
 
 fn setting(name: &str, default: u64) -> u64 {
--- a/crates/lead/tests/world/worker.rs
+++ b/crates/lead/tests/world/worker.rs
@@ -12,6 +12,8 @@
 const STOP_TIME: Millis = 150;
 /// Time after which a long-running task is at work.
 const STARTUP_TIME: Millis = 200;
+/// Time for which starts may still count on the size before a change.
+const RESIZE_GRACE: Millis = 500;
 /// Offset of the worker clocks.
 const CLOCK_OFFSET: Millis = 77_000;
 
@@ -46,6 +48,8 @@
     pub(crate) down_until: Millis,
     service: Name,
     size: Size,
+    /// Size before it last changed, and when it did.
+    resized: (Size, Millis),
     incarnation: Millis,
     /// Expiry of the leases on the worker clock.
     lease_expiry: Millis,
@@ -68,6 +72,7 @@
             down_until: 0,
             service: service.into(),
             size: Size { cpu, memory: 2 * cpu, accel: 0 },
+            resized: (Size::ZERO, 0),
             incarnation: 1,
             lease_expiry: 0,
             completions: Vec::new(),
@@ -91,6 +96,18 @@
         }
     }
 
+    pub(crate) fn resize(&mut self, cpu: u64, now: Millis) {
+        self.resized = (self.size, now);
+        self.size.cpu = cpu;
+    }
+
+    /// Returns the CPU that a start may count on: for some time, also what there was before.
+    pub(crate) fn startable_cpu(&self, now: Millis) -> u64 {
+        let (before, at) = self.resized;
+        let grace = if now < at + RESIZE_GRACE { before.cpu } else { 0 };
+        self.size.cpu.max(grace)
+    }
+
     /// Returns the worker clock, which runs 1.5 % slow.
     fn clock(&self, now: Millis) -> Millis {
         CLOCK_OFFSET + (now.saturating_sub(self.incarnation) as f64 * 0.985) as Millis
@@ -101,6 +118,7 @@
         let fresh = FakeWorker::open(0, &self.service, self.size.cpu);
         *self = FakeWorker {
             id: self.id.clone(),
+            resized: self.resized,
             incarnation,
             down_until,
             unreachable_until: self.unreachable_until,
