Start nothing on a worker that is over its size

Now nothing fits on such a worker until enough of its runs have ended.

Ruled out: a negative free capacity in Size, which every other user of it would have to know of.

--- a/crates/lead/src/search.rs
+++ b/crates/lead/src/search.rs
@@ -274,9 +274,13 @@
             && label.is_none_or(|label| worker.info.labels.contains(label))
     }
 
-    /// Whether the task fits into the free capacity of a worker.
+    /// Whether the task fits into the free capacity of a worker. Nothing fits on one that is
+    /// over its size.
     pub(crate) fn fits_on(&self, worker: &Worker) -> bool {
         let size = self.step.size;
+        if worker.over_size() {
+            return false;
+        }
         if self.step.best_effort {
             let memory = Size { cpu: 0, ..size };
             return memory.fits(worker.free()) && size.cpu <= worker.free_cpu(true);
@@ -289,6 +293,9 @@
     /// CPU available to best-effort tasks in total: what other tasks don't request, plus the
     /// share that service tasks leave idle.
     fn best_effort_capacity(&self) -> u64 {
+        if self.over_size() {
+            return 0;
+        }
         let unused = self.info.size.cpu.saturating_sub(self.used.cpu);
         unused + (self.service_cpu as f64 * SERVICE_IDLE_SHARE) as u64
     }
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -253,6 +253,11 @@
         }
     }
 
+    /// Whether its tasks take up more than its size, which may have shrunk since they started.
+    pub(crate) fn over_size(&self) -> bool {
+        !self.used.fits(self.info.size)
+    }
+
     /// Returns the free capacity, counting no CPU for best-effort tasks.
     pub fn free(&self) -> Size {
         self.info.size.minus(self.used)
