Look at a worker again as soon as its record has changed

Tasks waited up to 200 ms beside a worker that had grown (or had got a label): only completions, replies and measurements marked it as improved, and all workers are searched for a waiting step every 200 ms only. A new record marks it now.

--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -70,6 +70,7 @@
             worker.record_batch = Some(self.journal.add_worker(&id));
         }
         worker.info = WorkerInfo { incarnation: worker.info.incarnation, ..info.clone() };
+        worker.improved = true;
         self.touched.insert(id.clone());
         if restarted {
             self.on_restart(&id, info.incarnation, "record", now);
