Count what is over a worker's size when tasks are to be preempted there

Callers lost service tasks for nothing: on a worker that had shrunk below what was used, the free capacity was taken for zero, so that moving any task seemed to free all of its size. Each round moved one more while the waiting task still did not fit. Plans and the forecast of completions now subtract from what is used. A long-running best-effort task counts with what it takes up, which is no CPU.

--- a/crates/lead/src/preemption.rs
+++ b/crates/lead/src/preemption.rs
@@ -172,7 +172,7 @@
             let runs = worker.runs.iter().filter(|(_, run)| run.long_running && is_up(run));
             let preemptible = |(task, run): (&TaskId, &Run)| {
                 let priority = self.jobs.get(&task.job)?.queue.priority;
-                Some(PreemptibleTask { task: task.clone(), size: run.size, priority })
+                Some(PreemptibleTask { task: task.clone(), size: run.allocation(), priority })
             };
             let list: Vec<PreemptibleTask> = runs.filter_map(preemptible).collect();
             for one in &list {
@@ -228,7 +228,8 @@
         let stored = self.durable_batch();
         self.workers.values().any(|worker| {
             let plain = worker.runs.values().filter(|run| !run.long_running && !run.best_effort);
-            let free = plain.fold(worker.free(), |free, run| free.plus(run.size));
+            let kept = plain.fold(worker.used, |used, run| used.minus(run.allocation()));
+            let free = worker.info.size.minus(kept);
             let open = worker.usable(stored, now.mono) && !self.reserved(&worker.info.id, id, now);
             open && req.matches(worker) && req.under_limit(worker) && req.step.size.fits(free)
         })
@@ -312,21 +313,24 @@
     };
     let mut candidates: Vec<&PreemptibleTask> = list.iter().filter(may_preempt).collect();
     let mut steps = BTreeSet::new();
-    let (mut free, size) = (worker.free(), req.step.size);
+    let (total, size) = (worker.info.size, req.step.size);
+    // The runs on a worker that has shrunk may take up more than its size.
+    let fits_beside = |used: Size| used.plus(size).fits(total);
+    let mut used = worker.used;
     let mut preempted: Vec<PreemptibleTask> = Vec::new();
-    while !size.fits(free) {
+    while !fits_beside(used) {
         if preempted.len() >= MAX_PREEMPTIONS {
             return None;
         }
-        let enough = |one: &&&PreemptibleTask| size.fits(free.plus(one.size));
+        let enough = |one: &&&PreemptibleTask| fits_beside(used.minus(one.size));
         let one = candidates.iter().filter(enough).min_by_key(|one| one.size.cpu);
         let one = (*one.or_else(|| candidates.iter().max_by_key(|one| one.size.cpu))?).clone();
         steps.insert(one.task.step_id());
         candidates.retain(|other| !steps.contains(&other.task.step_id()));
-        free = free.plus(one.size);
+        used = used.minus(one.size);
         preempted.push(one);
     }
     let cpu = preempted.iter().map(|one| one.size.cpu).sum();
-    let leftover = free.cpu - size.cpu;
+    let leftover = total.cpu - used.cpu - size.cpu;
     Some(Plan { worker: worker.info.id.clone(), preempted, cost: (cpu, leftover) })
 }
