Count a start that a restarted worker may still carry out at its size

After a restart, a start that got no reply is kept as a run until the new incarnation has confirmed its stop, but it counted as nothing: the worker was filled beside it, and would have been over its size had the start arrived before the stop. It counts with the size of its step now. Of several such starts of one task only the highest is kept, whose stop covers the others; otherwise the capacity of the lower ones would never be released.

--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -138,16 +138,26 @@
         if !worker.runs.is_empty() {
             self.commands.push(Command::Poll(id.clone()));
         }
-        let late_starts = worker.late_starts(now.mono);
-        for (task, run) in late_starts {
-            self.add_late_start(id, task, run);
+        let late_starts = worker.late_starts();
+        for (task, run_id) in late_starts {
+            self.add_late_start(id, task, run_id, now);
         }
     }
 
-    /// Adds a run that may still begin on a worker. Its task is not started elsewhere until
-    /// the worker has confirmed that the run will not begin.
-    fn add_late_start(&mut self, id: &Name, task: TaskId, run: Run) {
-        let state = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(&task));
+    /// Adds a run that may still begin on a worker, in the state in which it gets a stop
+    /// command. Its task is not started elsewhere, and its capacity not used, until the worker
+    /// has confirmed that the run will not begin.
+    fn add_late_start(&mut self, id: &Name, task: TaskId, run_id: u64, now: Now) {
+        let job = self.jobs.get_mut(&task.job);
+        let step = job.as_ref().and_then(|job| job.step(&task)).cloned().unwrap_or_default();
+        let run = Run {
+            state: RunState::Stopping,
+            retry_at: now.mono,
+            in_flight: false,
+            progress_at: now.mono,
+            ..Run::starting(run_id, &step, 0)
+        };
+        let state = job.and_then(|job| job.task_mut(&task));
         if let Some(state) = state.filter(|state| !state.done) {
             state.queued = false;
             state.workers.push(id.clone());
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use base::{Millis, Name, Size};
-use job::{Step, TaskId};
+use job::TaskId;
 use port::{WorkerAddr, WorkerInfo};
 
 use crate::{
@@ -190,21 +190,12 @@
         self.replied_at = now;
     }
 
-    /// Returns the runs that an unconfirmed start command may still begin on a worker that
-    /// has just restarted, in the state in which they get a stop command.
-    pub(crate) fn late_starts(&mut self, now: Millis) -> Vec<(TaskId, Run)> {
+    /// Returns the tasks that unconfirmed start commands may still begin on a worker that has
+    /// just restarted, with the highest run id of each: its stop covers the lower ones.
+    pub(crate) fn late_starts(&mut self) -> BTreeMap<TaskId, u64> {
         self.unconfirmed_starts.retain(|(task, ..)| !self.runs.contains_key(task));
-        let run = |run_id| Run {
-            state: RunState::Stopping,
-            retry_at: now,
-            in_flight: false,
-            progress_at: now,
-            ..Run::starting(run_id, &Step::default(), 0)
-        };
-        self.unconfirmed_starts
-            .iter()
-            .map(|(task, run_id, _)| (task.clone(), run(*run_id)))
-            .collect()
+        let starts = self.unconfirmed_starts.iter();
+        starts.map(|(task, run_id, _)| (task.clone(), *run_id)).collect()
     }
 
     /// Adds a run and allocates its capacity.
--- a/crates/lead/tests/capacity.rs
+++ b/crates/lead/tests/capacity.rs
@@ -275,27 +275,34 @@
 /// Guards against a worker that was filled beside a start that it may still carry out.
 #[test]
 fn a_start_in_doubt_takes_up_capacity_after_a_restart() {
-    let mut fleet = Fleet::open(1);
-    fleet.accept("a", spec(plain(1, 3_000)));
-    let sent = fleet.starts().remove(0);
-    fleet.reply_start(&sent, Err(WorkerError::InDoubt("no reply".into())));
-    fleet.cancel("a");
-    fleet.commands();
-    fleet.reply_stop(&sent, Ok(1));
-    fleet.advance(10);
-    fleet.list("w0", &[], &[]);
-    // The new incarnation does not know of the stop.
-    fleet.restart("w0", 2);
-    fleet.store();
-    let now = fleet.now();
-    fleet.list_since("w0", now, 2, &[]);
-    fleet.accept("b", spec(plain(1, 3_000)));
-    assert!(fleet.starts().is_empty(), "the first may still begin");
-    fleet.reply_stop(&sent, Ok(1));
-    fleet.advance(10);
-    let now = fleet.now();
-    fleet.list_since("w0", now, 2, &[]);
-    assert_eq!(fleet.starts().len(), 1, "the first will not begin any more");
+    for starts in [1, 2] {
+        let mut fleet = Fleet::open(1);
+        fleet.accept("a", spec(plain(1, 3_000)));
+        let mut last = None;
+        for _ in 0..starts {
+            let sent = fleet.starts().remove(0);
+            fleet.reply_start(&sent, Err(WorkerError::InDoubt("no reply".into())));
+            fleet.advance(300);
+            assert_eq!(fleet.stops().len(), 1, "{starts} starts");
+            fleet.reply_stop(&sent, Ok(1));
+            fleet.advance(10);
+            fleet.list("w0", &[], &[]);
+            last = Some(sent);
+        }
+        fleet.cancel("a");
+        // The new incarnation does not know of the stops.
+        fleet.restart("w0", 2);
+        fleet.store();
+        let now = fleet.now();
+        fleet.list_since("w0", now, 2, &[]);
+        fleet.accept("b", spec(plain(1, 4_000)));
+        assert!(fleet.starts().is_empty(), "{starts} starts: the last may still begin");
+        fleet.reply_stop(&last.expect("a start"), Ok(1));
+        fleet.advance(10);
+        let now = fleet.now();
+        fleet.list_since("w0", now, 2, &[]);
+        assert_eq!(fleet.starts().len(), 1, "{starts} starts: none will begin any more");
+    }
 }
 
 #[test]
