Use no worker whose newest record is unreadable

A record that could not be decoded was skipped: read from the log, the worker kept its last good record and got work; read with the whole table, it became unlisted. It is unlisted now in both cases and gets no work until it has a readable record; its runs and their leases go on. The grace for records that the store lost in an outage does not apply.

--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -37,6 +37,7 @@
             }
             let Some(info) = decode(&item.key, &item.value) else {
                 log::warn!("event=record_skipped key={} reason=unreadable", item.key);
+                self.on_unreadable(&item.key, now);
                 continue;
             };
             seen.insert(item.key.clone());
@@ -87,6 +88,15 @@
         }
     }
 
+    /// Handles a record of which no worker can be read. A known worker of that identifier gets
+    /// no more work, since its state and size are unknown; its runs go on.
+    fn on_unreadable(&mut self, id: &Name, now: Now) {
+        self.on_unlisted(id, now);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.unlisted_at = 0;
+        }
+    }
+
     /// Handles the restart of a worker. Only the runs that an earlier incarnation has listed
     /// are certainly gone. A command may have reached the new incarnation before the restart
     /// was known, or may still reach it: its next list tells.
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -29,7 +29,7 @@
     pub info: WorkerInfo,
     /// Whether the store lists it.
     pub listed: bool,
-    /// When the store stopped listing it.
+    /// When the store stopped listing it; 0 if it never did or its record is unreadable.
     pub unlisted_at: Millis,
     /// Journal batch with the worker's record. The worker gets work only once that
     /// batch is durable, and none while this is `None`.
@@ -148,7 +148,8 @@
     /// Returns whether new work may be placed on the worker; `stored` is the newest
     /// durable batch.
     pub fn usable(&self, stored: u64, now: Millis) -> bool {
-        let listed = self.listed || now < self.unlisted_at + RELIST_GRACE;
+        let relists = self.unlisted_at > 0 && now < self.unlisted_at + RELIST_GRACE;
+        let listed = self.listed || relists;
         listed
             && self.synced
             && !self.info.draining
