Add sizes without overflow

A record may give any 64-bit number as a worker's size. The sums of the load report, of the reasons for waiting and of the plans of preemption overflowed, which takes a debug build down and gives a release build wrong sums. They stop at the largest number now; plans compare without a sum.

--- a/crates/base/src/size.rs
+++ b/crates/base/src/size.rs
@@ -19,12 +19,12 @@
     /// No resources.
     pub const ZERO: Size = Size { cpu: 0, memory: 0, accel: 0 };
 
-    /// Returns the sum of two sizes.
+    /// Returns the sum of two sizes, at most the largest size.
     pub fn plus(self, other: Size) -> Size {
         Size {
-            cpu: self.cpu + other.cpu,
-            memory: self.memory + other.memory,
-            accel: self.accel + other.accel,
+            cpu: self.cpu.saturating_add(other.cpu),
+            memory: self.memory.saturating_add(other.memory),
+            accel: self.accel.saturating_add(other.accel),
         }
     }
 
--- a/crates/lead/src/load.rs
+++ b/crates/lead/src/load.rs
@@ -141,9 +141,9 @@
         let mut load = FleetLoad::default();
         for worker in self.workers.values().filter(|w| w.usable(stored, now.mono)) {
             load.workers += 1;
-            load.cpu += worker.info.size.cpu;
-            load.used += worker.used.cpu;
-            load.best_effort_cpu += worker.best_effort_cpu;
+            load.cpu = load.cpu.saturating_add(worker.info.size.cpu);
+            load.used = load.used.saturating_add(worker.used.cpu);
+            load.best_effort_cpu = load.best_effort_cpu.saturating_add(worker.best_effort_cpu);
             load.missing_target += u32::from(worker.target_missed);
             load.worker_free.push(worker.free().cpu);
         }
--- a/crates/lead/src/preemption.rs
+++ b/crates/lead/src/preemption.rs
@@ -315,7 +315,7 @@
     let mut steps = BTreeSet::new();
     let (total, size) = (worker.info.size, req.step.size);
     // The runs on a worker that has shrunk may take up more than its size.
-    let fits_beside = |used: Size| used.plus(size).fits(total);
+    let fits_beside = |used: Size| used.fits(total) && size.fits(total.minus(used));
     let mut used = worker.used;
     let mut preempted: Vec<PreemptibleTask> = Vec::new();
     while !fits_beside(used) {
@@ -331,6 +331,6 @@
         preempted.push(one);
     }
     let cpu = preempted.iter().map(|one| one.size.cpu).sum();
-    let leftover = total.cpu - used.cpu - size.cpu;
+    let leftover = total.minus(used).cpu - size.cpu;
     Some(Plan { worker: worker.info.id.clone(), preempted, cost: (cpu, leftover) })
 }
--- a/crates/lead/src/search.rs
+++ b/crates/lead/src/search.rs
@@ -230,8 +230,9 @@
         let avoided = f64::from(req.avoid == Some(&worker.info.id));
         let remote_penalty = self.bounds.remote_factor
             * f64::from(step.affinity.as_ref().is_some_and(|r| Some(r) != worker.rack()));
-        let taken = worker.used.cpu + worker.best_effort_cpu + step.size.cpu;
-        let idle_share = (cpu - taken as f64) / cpu;
+        let taken = [worker.used.cpu, worker.best_effort_cpu, step.size.cpu];
+        let taken: f64 = taken.iter().map(|part| *part as f64).sum();
+        let idle_share = (cpu - taken) / cpu;
         let fit = if step.latency_target > 0 {
             worker.image_affinity(&step.image) + IDLE_WEIGHT * idle_share
         } else if step.best_effort {
@@ -297,7 +298,7 @@
             return 0;
         }
         let unused = self.info.size.cpu.saturating_sub(self.used.cpu);
-        unused + (self.service_cpu as f64 * SERVICE_IDLE_SHARE) as u64
+        unused.saturating_add((self.service_cpu as f64 * SERVICE_IDLE_SHARE) as u64)
     }
 
     /// Free CPU for a best-effort task, or for any other task.
--- a/crates/lead/src/waits.rs
+++ b/crates/lead/src/waits.rs
@@ -102,7 +102,7 @@
         self.reserved += usize::from(accepted && reserved);
         self.available += usize::from(accepted && !reserved);
         self.free_max = self.free_max.max(free);
-        self.free_total += free;
+        self.free_total = self.free_total.saturating_add(free);
     }
 
     fn reason(&self, req: &Requirements<'_>, tasks: usize) -> WaitReason {
@@ -115,7 +115,9 @@
             () if self.reserved > 0 => WaitReason::Reserved,
             () if self.enough_capacity > 0 => WaitReason::PerWorkerLimit,
             () if self.enough_cpu > 0 => WaitReason::Memory,
-            () if self.free_total >= req.step.size.cpu * tasks as u64 => WaitReason::Fragmented,
+            () if self.free_total >= req.step.size.cpu.saturating_mul(tasks as u64) => {
+                WaitReason::Fragmented
+            }
             () => WaitReason::Full,
         }
     }
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -204,13 +204,13 @@
         let size = run.allocation();
         self.used = self.used.plus(size);
         if run.best_effort {
-            self.best_effort_cpu += run.size.cpu;
+            self.best_effort_cpu = self.best_effort_cpu.saturating_add(run.size.cpu);
         }
         if run.best_effort && run.started_at > 0 {
             self.recent_starts.push((run.started_at, run.image.clone(), run.size.cpu));
         }
         if run.latency_target > 0 {
-            self.service_cpu += run.size.cpu;
+            self.service_cpu = self.service_cpu.saturating_add(run.size.cpu);
         }
         self.runs.insert(task, run);
         self.update_headrooms();
