--- a/crates/lead/tests/capacity.rs
+++ b/crates/lead/tests/capacity.rs
@@ -63,11 +63,13 @@
 }
 
 fn starts(commands: &[Command]) -> Vec<&Start> {
-    let start = |command| match command {
-        &Command::Start(_, ref start) => Some(start),
-        _ => None,
-    };
-    commands.iter().filter_map(start).collect()
+    let mut starts = Vec::new();
+    for command in commands {
+        if let Command::Start(_, start) = command {
+            starts.push(start);
+        }
+    }
+    starts
 }
 
 fn stops(commands: &[Command]) -> usize {
