--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -2,7 +2,7 @@
 
 use base::{Millis, Name, Now, event};
 use job::TaskId;
-use port::{Poll, PollReply, Refusal, RunStatus, WorkerAddr, WorkerError, WorkerInfo};
+use port::{Item, Poll, PollReply, Refusal, RunStatus, WorkerAddr, WorkerError, WorkerInfo};
 use relay::{PollTimes, RelayedWorker};
 
 use crate::{Command, Lead, Run, RunState, Worker};
@@ -20,6 +20,35 @@
 const MAX_LISTED_COMPLETIONS: usize = 500;
 
 impl Lead {
+    /// Handles records of the list of workers in the store. If the list is complete, workers
+    /// that it does not contain become unlisted.
+    pub fn on_worker_records(
+        &mut self,
+        items: &[Item],
+        complete: bool,
+        decode: &dyn Fn(&Name, &[u8]) -> Option<WorkerInfo>,
+        now: Now,
+    ) {
+        let mut seen: BTreeSet<Name> = BTreeSet::new();
+        for item in items {
+            if item.value.is_empty() {
+                self.on_unlisted(&item.key, now);
+                continue;
+            }
+            let Some(info) = decode(&item.key, &item.value) else {
+                log::warn!("event=record_skipped key={} reason=unreadable", item.key);
+                self.on_unreadable(&item.key, now);
+                continue;
+            };
+            seen.insert(item.key.clone());
+            self.on_worker_info(info, now);
+        }
+        if complete {
+            let known: Vec<Name> = self.workers.keys().cloned().collect();
+            known.iter().filter(|id| !seen.contains(*id)).for_each(|id| self.on_unlisted(id, now));
+        }
+    }
+
     /// Handles the record of a worker in the store. Returns whether the worker was unknown.
     pub fn on_worker_info(&mut self, info: WorkerInfo, now: Now) -> bool {
         let id = info.id.clone();
@@ -42,6 +71,7 @@
             worker.record_batch = Some(self.journal.add_worker(&id));
         }
         worker.info = WorkerInfo { incarnation: worker.info.incarnation, ..info.clone() };
+        worker.improved = true;
         self.touched.insert(id.clone());
         if restarted {
             self.on_restart(&id, info.incarnation, "record", now);
@@ -58,6 +88,15 @@
         }
     }
 
+    /// Handles a record of which no worker can be read. A known worker of that identifier gets
+    /// no more work, since its state and size are unknown; its runs go on.
+    fn on_unreadable(&mut self, id: &Name, now: Now) {
+        self.on_unlisted(id, now);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.unlisted_at = 0;
+        }
+    }
+
     /// Handles the restart of a worker. Only the runs that an earlier incarnation has listed
     /// are certainly gone. A command may have reached the new incarnation before the restart
     /// was known, or may still reach it: its next list tells.
@@ -109,15 +148,25 @@
         if !worker.runs.is_empty() {
             self.commands.push(Command::Poll(id.clone()));
         }
-        let late_starts = worker.late_starts(now.mono);
-        for (task, run) in late_starts {
-            self.add_late_start(id, task, run);
+        let late_starts = worker.late_starts();
+        for (task, run_id) in late_starts {
+            self.add_late_start(id, task, run_id, now);
         }
     }
 
-    /// Adds a run that may still begin on a worker. Its task is not started elsewhere until
-    /// the worker has confirmed that the run will not begin.
-    fn add_late_start(&mut self, id: &Name, task: TaskId, run: Run) {
+    /// Adds a run that may still begin on a worker, in the state in which it gets a stop
+    /// command. Its task is not started elsewhere, and its capacity not used, until the worker
+    /// has confirmed that the run will not begin.
+    fn add_late_start(&mut self, id: &Name, task: TaskId, run_id: u64, now: Now) {
+        let job = self.jobs.get(&task.job);
+        let step = job.and_then(|job| job.step(&task)).cloned().unwrap_or_default();
+        let run = Run {
+            state: RunState::Stopping,
+            retry_at: now.mono,
+            in_flight: false,
+            progress_at: now.mono,
+            ..Run::starting(run_id, &step, 0)
+        };
         self.dequeue(&task);
         let state = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(&task));
         if let Some(state) = state.filter(|state| !state.done) {
--- a/crates/lead/src/search.rs
+++ b/crates/lead/src/search.rs
@@ -230,8 +230,9 @@
         let avoided = f64::from(req.avoid == Some(&worker.info.id));
         let remote_penalty = self.bounds.remote_factor
             * f64::from(step.affinity.as_ref().is_some_and(|r| Some(r) != worker.rack()));
-        let taken = worker.used.cpu + worker.best_effort_cpu + step.size.cpu;
-        let idle_share = (cpu - taken as f64) / cpu;
+        let taken = [worker.used.cpu, worker.best_effort_cpu, step.size.cpu];
+        let taken: f64 = taken.iter().map(|part| *part as f64).sum();
+        let idle_share = (cpu - taken) / cpu;
         let fit = if step.latency_target > 0 {
             worker.image_affinity(&step.image) + IDLE_WEIGHT * idle_share
         } else if step.best_effort {
@@ -274,9 +275,13 @@
             && label.is_none_or(|label| worker.info.labels.contains(label))
     }
 
-    /// Whether the task fits into the free capacity of a worker.
+    /// Whether the task fits into the free capacity of a worker. Nothing fits on one that is
+    /// over its size.
     pub(crate) fn fits_on(&self, worker: &Worker) -> bool {
         let size = self.step.size;
+        if worker.over_size() {
+            return false;
+        }
         if self.step.best_effort {
             let memory = Size { cpu: 0, ..size };
             return memory.fits(worker.free()) && size.cpu <= worker.free_cpu(true);
@@ -289,8 +294,11 @@
     /// CPU available to best-effort tasks in total: what other tasks don't request, plus the
     /// share that service tasks leave idle.
     fn best_effort_capacity(&self) -> u64 {
+        if self.over_size() {
+            return 0;
+        }
         let unused = self.info.size.cpu.saturating_sub(self.used.cpu);
-        unused + (self.service_cpu as f64 * SERVICE_IDLE_SHARE) as u64
+        unused.saturating_add((self.service_cpu as f64 * SERVICE_IDLE_SHARE) as u64)
     }
 
     /// Free CPU for a best-effort task, or for any other task.
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use base::{Millis, Name, Size};
-use job::{Step, TaskId};
+use job::TaskId;
 use port::{WorkerAddr, WorkerInfo};
 
 use crate::{
@@ -31,7 +31,7 @@
     pub info: WorkerInfo,
     /// Whether the store lists it.
     pub listed: bool,
-    /// When the store stopped listing it.
+    /// When the store stopped listing it; 0 if it never did or its record is unreadable.
     pub unlisted_at: Millis,
     /// Journal batch with the worker's record. The worker gets work only once that
     /// batch is durable, and none while this is `None`.
@@ -154,7 +154,8 @@
     /// Returns whether new work may be placed on the worker; `stored` is the newest
     /// durable batch.
     pub fn usable(&self, stored: u64, now: Millis) -> bool {
-        let listed = self.listed || now < self.unlisted_at + RELIST_GRACE;
+        let relists = self.unlisted_at > 0 && now < self.unlisted_at + RELIST_GRACE;
+        let listed = self.listed || relists;
         listed
             && self.synced
             && !self.info.draining
@@ -211,21 +212,12 @@
         self.replied_at = now;
     }
 
-    /// Returns the runs that an unconfirmed start command may still begin on a worker that
-    /// has just restarted, in the state in which they get a stop command.
-    pub(crate) fn late_starts(&mut self, now: Millis) -> Vec<(TaskId, Run)> {
+    /// Returns the tasks that unconfirmed start commands may still begin on a worker that has
+    /// just restarted, with the highest run id of each: its stop covers the lower ones.
+    pub(crate) fn late_starts(&mut self) -> BTreeMap<TaskId, u64> {
         self.unconfirmed_starts.retain(|(task, ..)| !self.runs.contains_key(task));
-        let run = |run_id| Run {
-            state: RunState::Stopping,
-            retry_at: now,
-            in_flight: false,
-            progress_at: now,
-            ..Run::starting(run_id, &Step::default(), 0)
-        };
-        self.unconfirmed_starts
-            .iter()
-            .map(|(task, run_id, _)| (task.clone(), run(*run_id)))
-            .collect()
+        let starts = self.unconfirmed_starts.iter();
+        starts.map(|(task, run_id, _)| (task.clone(), *run_id)).collect()
     }
 
     /// Adds a run and allocates its capacity.
@@ -233,13 +225,13 @@
         let size = run.allocation();
         self.used = self.used.plus(size);
         if run.best_effort {
-            self.best_effort_cpu += run.size.cpu;
+            self.best_effort_cpu = self.best_effort_cpu.saturating_add(run.size.cpu);
         }
         if run.best_effort && run.started_at > 0 {
             self.recent_starts.push((run.started_at, run.image.clone(), run.size.cpu));
         }
         if run.latency_target > 0 {
-            self.service_cpu += run.size.cpu;
+            self.service_cpu = self.service_cpu.saturating_add(run.size.cpu);
         }
         self.runs.insert(task, run);
         self.update_headrooms();
@@ -274,6 +266,11 @@
         }
     }
 
+    /// Whether its tasks take up more than its size, which may have shrunk since they started.
+    pub(crate) fn over_size(&self) -> bool {
+        !self.used.fits(self.info.size)
+    }
+
     /// Returns the free capacity, counting no CPU for best-effort tasks.
     pub fn free(&self) -> Size {
         self.info.size.minus(self.used)
