A kept run does not hide an earlier start that is in doubt

When the next list showed the run to be gone, the task was started again at once, and the earlier start could be carried out beside it.

Unconfirmed starts stay remembered, and one that was issued before the restart gets its stop when the kept run of its task is dropped.

--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -113,6 +113,7 @@
             runs = worker.runs.len()
         );
         worker.info.incarnation = incarnation;
+        worker.restarted_at = now.mono;
         worker.record_batch = Some(batch);
         worker.synced = false;
         worker.clock = None;
@@ -154,6 +155,17 @@
         }
     }
 
+    /// Handles the end of a run that was kept over the restart of its worker: an earlier start
+    /// of its task may still be carried out in the present incarnation.
+    fn guard_late_start(&mut self, id: &Name, task: TaskId, now: Now) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let mut starts = worker.unconfirmed_starts.iter().rev();
+        let start = starts.find(|(other, _, at)| *other == task && *at < worker.restarted_at);
+        if let Some(run_id) = start.map(|(_, run_id, _)| *run_id) {
+            self.add_late_start(id, task, run_id, now);
+        }
+    }
+
     /// Adds a run that may still begin on a worker, in the state in which it gets a stop
     /// command. Its task is not started elsewhere, and its capacity not used, until the worker
     /// has confirmed that the run will not begin.
@@ -432,7 +444,12 @@
         let gone: Vec<TaskId> =
             worker.runs.iter().filter(missing).map(|(task, _)| task.clone()).collect();
         for task in gone {
+            let Some(worker) = self.workers.get(id) else { return };
+            let kept = worker.runs.get(&task).is_some_and(|run| worker.kept_over_restart(run));
             self.drop_run(id, &task, "not_listed", now);
+            if kept {
+                self.guard_late_start(id, task, now);
+            }
         }
     }
 }
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -55,6 +55,8 @@
     /// When leases that the present incarnation may have been granted on the clock of an
     /// earlier one have certainly expired; 0 if there are none.
     pub(crate) earlier_leases_end: Millis,
+    /// When its last restart became known; 0 if it has not restarted.
+    pub(crate) restarted_at: Millis,
     /// Whether a relay may be renewing its leases, so that `lease_expiry` may be outdated.
     pub(crate) renewed_by_relay: bool,
     /// Start commands without a reply, with run id and time. They may still reach a
@@ -119,6 +121,7 @@
             list_clock: 0,
             lease_expiry: 0,
             earlier_leases_end: 0,
+            restarted_at: 0,
             renewed_by_relay: false,
             unconfirmed_starts: Vec::new(),
             last_completion: 0,
@@ -214,12 +217,20 @@
 
     /// Returns the tasks that unconfirmed start commands may still begin on a worker that has
     /// just restarted, with the highest run id of each: its stop covers the lower ones.
-    pub(crate) fn late_starts(&mut self) -> BTreeMap<TaskId, u64> {
-        self.unconfirmed_starts.retain(|(task, ..)| !self.runs.contains_key(task));
+    pub(crate) fn late_starts(&self) -> BTreeMap<TaskId, u64> {
         let starts = self.unconfirmed_starts.iter();
+        let starts = starts.filter(|(task, ..)| !self.runs.contains_key(task));
         starts.map(|(task, run_id, _)| (task.clone(), *run_id)).collect()
     }
 
+    /// Returns whether a run was started before the last restart and has neither been listed nor
+    /// stopped since.
+    pub(crate) fn kept_over_restart(&self, run: &Run) -> bool {
+        let earlier = run.started_at > 0 && run.started_at < self.restarted_at;
+        let stopped = run.state == RunState::Stopping && run.confirmed_at >= self.restarted_at;
+        earlier && run.incarnation.is_none() && !stopped
+    }
+
     /// Adds a run and allocates its capacity.
     pub(crate) fn add(&mut self, task: TaskId, run: Run) {
         let size = run.allocation();
--- a/crates/lead/tests/restart.rs
+++ b/crates/lead/tests/restart.rs
@@ -203,3 +203,26 @@
     fleet.store();
     assert_eq!(fleet.starts().len(), 1);
 }
+
+/// Guards against two runs of a task: a run that was kept over a restart hid an earlier start of
+/// its task, which could still be carried out when that run turned out to be gone.
+#[test]
+fn a_kept_run_does_not_hide_an_earlier_start_in_doubt() {
+    let mut fleet = Fleet::open(1);
+    fleet.accept("a", spec(1));
+    let first = fleet.starts();
+    fleet.reply_start(&first[0], Err(WorkerError::InDoubt("timeout".into())));
+    fleet.commands();
+    settle(&mut fleet, &first, 1);
+    let second = fleet.starts().remove(0);
+    fleet.reply_start(&second, Ok(1));
+    fleet.advance(100);
+    fleet.restart("w0", RESTARTED);
+    fleet.store();
+    assert!(fleet.starts().is_empty());
+    let now = fleet.now();
+    fleet.list_since("w0", now, RESTARTED, &[]);
+    assert!(fleet.starts().is_empty(), "the first start may still be carried out");
+    settle(&mut fleet, &first, RESTARTED);
+    assert_eq!(fleet.starts().len(), 1);
+}
