Doubt about a worker's incarnation arises from every reply and ends with a later list

With relays, whose times are early by the transit of the first orders, each reply to a start could be taken for a restart.

A command in doubt now raises the doubt as well, readings of all replies are compared with the clock of the known incarnation, less the longest time that a reply may take, and only a list requested after the doubt arose ends it. A reading that does not fit is not taken over, nor one before the first list of an incarnation: a late reply of the earlier one set its clock for the new one.

--- a/crates/lead/src/commands.rs
+++ b/crates/lead/src/commands.rs
@@ -46,23 +46,12 @@
                     run.confirmed_at = now.mono;
                     run.progress_at = now.mono;
                 }
-                let sent = run.started_at;
-                if worker.is_behind(clock, sent) {
-                    event!("worker_clock_behind", worker = name, run = run_id, clock = clock);
-                    worker.may_be_new = true;
-                    worker.synced = false;
-                    self.touched.insert(name.clone());
-                    self.commands.push(Command::Poll(name.clone()));
-                }
-                worker.record_reply(clock, now.mono);
+                self.on_reply(name, clock, now);
                 if let Some(job) = self.jobs.get_mut(&id.job) {
                     job.started = true;
                 }
             }
             Err(WorkerError::Refused(why, clock)) => {
-                if let Some(clock) = clock {
-                    worker.record_reply(clock, now.mono);
-                }
                 match why {
                     Refusal::Fence => self.fenced(name),
                     Refusal::Room => worker.paused_until = now.mono + FULL_PAUSE,
@@ -70,6 +59,9 @@
                     Refusal::OtherLife => worker.paused_until = now.mono + UNHEALTHY_PAUSE,
                     Refusal::Old | Refusal::Late | Refusal::Ticket | Refusal::Malformed => {}
                 }
+                if let Some(clock) = clock {
+                    self.on_reply(name, clock, now);
+                }
                 if why == Refusal::Ticket {
                     self.discard_ticket(id, name);
                 }
@@ -89,7 +81,7 @@
                 run.retry_at = now.mono + RETRY_PAUSE;
                 worker.unconfirmed_starts.push((id.clone(), run_id, now.mono));
                 event!("start_in_doubt", task = id, worker = name, run = run_id, why = why);
-                self.commands.push(Command::Poll(name.clone()));
+                self.doubt(name, now);
             }
         }
     }
@@ -111,11 +103,14 @@
                 // From now on, the run does not exist or its completion will be listed.
                 run.state = RunState::Stopping;
                 run.confirmed_at = now.mono;
-                worker.record_reply(clock, now.mono);
+                self.on_reply(name, clock, now);
                 self.commands.push(Command::Poll(name.clone()));
             }
             Err(WorkerError::Refused(Refusal::Fence, _)) => self.fenced(name),
-            Err(_) => run.retry_at = now.mono + RETRY_PAUSE,
+            Err(_) => {
+                run.retry_at = now.mono + RETRY_PAUSE;
+                worker.doubted_at = now.mono;
+            }
         }
     }
 
@@ -129,7 +124,7 @@
     ) {
         let Some(worker) = self.workers.get_mut(name) else { return };
         match reply {
-            Ok(clock) => worker.record_reply(clock, now.mono),
+            Ok(clock) => self.on_reply(name, clock, now),
             Err(WorkerError::Refused(Refusal::Fence, _)) => self.fenced(name),
             Err(_) => {
                 // The speed limit in force is unknown, so the next decision sends it again.
--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -166,6 +166,26 @@
         }
     }
 
+    /// Handles the clock reading in the reply to a command. If it shows a restart, the worker
+    /// has to list its runs before it gets more work.
+    pub(crate) fn on_reply(&mut self, id: &Name, clock: Millis, now: Now) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if !worker.record_reply(clock, now.mono) || !worker.synced {
+            return;
+        }
+        event!("worker_clock_behind", worker = id, clock = clock);
+        worker.synced = false;
+        self.doubt(id, now);
+    }
+
+    /// Notes that a worker may have restarted without the leader's knowledge, and polls it.
+    pub(crate) fn doubt(&mut self, id: &Name, now: Now) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.doubted_at = now.mono;
+        self.touched.insert(id.clone());
+        self.commands.push(Command::Poll(id.clone()));
+    }
+
     /// Adds a run that may still begin on a worker, in the state in which it gets a stop
     /// command. Its task is not started elsewhere, and its capacity not used, until the worker
     /// has confirmed that the run will not begin.
@@ -289,16 +309,11 @@
         let reply = match reply {
             Ok(reply) => reply,
             Err(WorkerError::Refused(Refusal::Fence, _)) => return self.fenced(id),
-            Err(WorkerError::Refused(_, Some(clock))) => {
-                if let Some(worker) = self.workers.get_mut(id) {
-                    worker.record_reply(clock, now.mono);
-                }
-                return;
-            }
+            Err(WorkerError::Refused(_, Some(clock))) => return self.on_reply(id, clock, now),
             Err(_) => {
                 if let Some(worker) = self.workers.get_mut(id) {
                     worker.unanswered_at = worker.unanswered_at.max(sent);
-                    worker.may_be_new = true;
+                    worker.doubted_at = now.mono;
                 }
                 return;
             }
@@ -313,8 +328,12 @@
             }
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.record_reply(reply.clock, now.mono);
-        worker.may_be_new = false;
+        worker.record_list(reply.clock, now.mono);
+        // A list that was requested earlier may be one of the earlier incarnation.
+        let doubted = worker.doubted_at > sent;
+        if !doubted {
+            worker.doubted_at = 0;
+        }
         // Replies may arrive out of order.
         let stale = reply.clock < worker.list_clock;
         worker.list_clock = worker.list_clock.max(reply.clock);
@@ -338,7 +357,8 @@
         if !full {
             self.drop_unlisted(id, &listed, sent, now);
         }
-        if let Some(worker) = self.workers.get_mut(id).filter(|worker| !worker.synced) {
+        let unsynced = |worker: &&mut Worker| !worker.synced && !doubted;
+        if let Some(worker) = self.workers.get_mut(id).filter(unsynced) {
             worker.synced = true;
             event!("worker_synced", worker = id, runs = worker.runs.len(), epoch = self.epoch);
             if !worker.runs.is_empty() {
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -20,7 +20,9 @@
 pub(crate) const MAX_COMMAND_DELAY: Millis = 14_000;
 /// Time without a reply after which a worker gets no new work.
 const MAX_SILENCE: Millis = 2_000;
-/// Amount by which a reading of the worker clock may be behind the estimate.
+/// Longest time from a command to its reply.
+const MAX_REPLY_TIME: Millis = 1_000;
+/// Amount by which a reading of the worker clock may be off the estimate beyond that.
 const CLOCK_TOLERANCE: Millis = 400;
 
 /// A worker as the leader sees it. Times are on the leader's monotonic clock, unless
@@ -69,9 +71,10 @@
     pub pending_acks: VecDeque<(u64, u64)>,
     /// Highest number of a completion that the worker may forget.
     pub acked: u64,
-    /// Whether it may have restarted since its last list, so that numbers of completions may
-    /// be those of an earlier incarnation.
-    pub(crate) may_be_new: bool,
+    /// Since when it may have restarted without the leader's knowledge, so that numbers of
+    /// completions may be those of an earlier incarnation; 0 if a list has shown since that it
+    /// has not.
+    pub(crate) doubted_at: Millis,
     /// When the worker last replied.
     pub replied_at: Millis,
     /// When the newest request that got no reply was sent.
@@ -127,7 +130,7 @@
             last_completion: 0,
             pending_acks: VecDeque::new(),
             acked: 0,
-            may_be_new: false,
+            doubted_at: 0,
             replied_at: 0,
             unanswered_at: 0,
             paused_until: 0,
@@ -172,19 +175,26 @@
         self.clock.map(|(clock, at)| clock + now.saturating_sub(at))
     }
 
-    /// Returns whether a clock reading in the reply to a command issued at `sent` is too low for
-    /// the known incarnation: the clock starts anew with each.
-    pub(crate) fn is_behind(&self, reading: Millis, sent: Millis) -> bool {
+    /// Returns whether a clock reading in a reply received at `now` is too low for the known
+    /// incarnation: the clock starts anew with each.
+    fn is_behind(&self, reading: Millis, now: Millis) -> bool {
         let Some((clock, at)) = self.clock else { return false };
-        let elapsed = sent.saturating_sub(at) as f64 * MIN_CLOCK_RATE;
-        let expected = (clock + elapsed as Millis).saturating_sub(at.saturating_sub(sent));
+        let elapsed = now.saturating_sub(at) as f64 * MIN_CLOCK_RATE;
+        let expected = (clock + elapsed as Millis).saturating_sub(MAX_REPLY_TIME);
         reading + CLOCK_TOLERANCE < expected
     }
 
+    /// Returns whether a clock reading in a reply received at `now` is too high for the known
+    /// incarnation.
+    fn is_ahead(&self, reading: Millis, now: Millis) -> bool {
+        let expected = self.clock_now(now).map(|clock| clock + MAX_REPLY_TIME + CLOCK_TOLERANCE);
+        expected.is_some_and(|expected| reading > expected)
+    }
+
     /// Returns the number up to which the worker may forget its completions. A new incarnation
     /// numbers them anew: it would forget some that it has never listed.
     pub(crate) fn ack_cursor(&self) -> u64 {
-        if self.may_be_new { 0 } else { self.acked }
+        if self.doubted_at > 0 { 0 } else { self.acked }
     }
 
     /// Returns when all leases granted to it have certainly expired, on the leader's
@@ -206,15 +216,29 @@
         self.earlier_leases_end = now + delay + expiry(max_lease);
     }
 
-    /// Records a reply that carried a reading of the worker clock. Readings
-    /// below the last one are ignored.
-    pub(crate) fn record_reply(&mut self, clock: Millis, now: Millis) {
+    /// Records a list with its reading of the worker clock. Readings below the last one are
+    /// ignored.
+    pub(crate) fn record_list(&mut self, clock: Millis, now: Millis) {
         if self.clock.is_none_or(|(before, _)| clock >= before) {
             self.clock = Some((clock, now));
         }
         self.replied_at = now;
     }
 
+    /// Records the reply to a command with its reading of the worker clock. Returns whether
+    /// the reading shows that the worker has restarted. The reply does not name the
+    /// incarnation, so that a reading that does not fit the known one is not used.
+    pub(crate) fn record_reply(&mut self, clock: Millis, now: Millis) -> bool {
+        self.replied_at = now;
+        let restarted = self.is_behind(clock, now);
+        let fits = !restarted && !self.is_ahead(clock, now);
+        self.clock = self.clock.map(|(before, at)| match fits && clock >= before {
+            true => (clock, now),
+            false => (before, at),
+        });
+        restarted
+    }
+
     /// Returns the tasks that unconfirmed start commands may still begin on a worker that has
     /// just restarted, with the highest run id of each: its stop covers the lower ones.
     pub(crate) fn late_starts(&self) -> BTreeMap<TaskId, u64> {
--- a/crates/lead/tests/fleet/mod.rs
+++ b/crates/lead/tests/fleet/mod.rs
@@ -172,6 +172,12 @@
         self.lead.on_start(&sent.0, &sent.1.task, sent.1.run, Ok(clock), time);
     }
 
+    /// Confirms a stop with a reading of the worker clock.
+    pub(crate) fn reply_stop_at(&mut self, sent: &Sent, clock: Millis) {
+        let time = self.time();
+        self.lead.on_stop(&sent.0, &sent.1.task, sent.1.run, Ok(clock), time);
+    }
+
     pub(crate) fn reply_stop(&mut self, sent: &Sent, reply: Result<Millis, WorkerError>) {
         let time = self.time();
         let reply = reply.map(|_| self.now);
