Leases that a restarted worker was granted on its earlier clock are waited for

That was taken into account only once a record or list had told of the restart, from that moment, and not for polls that were still in flight. A worker that showed its restart by its clock alone and then fell silent had its task started elsewhere after 5.3 s, though it may run it for 10 s; a relay's renewal with the earlier clock made the leader wait for that clock's time instead, 107 s in the review's test.

The wait begins with the first sign of the restart, covers a poll in flight, and a relay's deadline beyond the longest lease counts as one of the earlier clock.

--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -169,12 +169,14 @@
     /// Handles the clock reading in the reply to a command. If it shows a restart, the worker
     /// has to list its runs before it gets more work.
     pub(crate) fn on_reply(&mut self, id: &Name, clock: Millis, now: Now) {
+        let max_lease = self.bounds.max_lease;
         let Some(worker) = self.workers.get_mut(id) else { return };
         if !worker.record_reply(clock, now.mono) || !worker.synced {
             return;
         }
         event!("worker_clock_behind", worker = id, clock = clock);
         worker.synced = false;
+        worker.hold_earlier_leases(max_lease, now.mono);
         self.doubt(id, now);
     }
 
@@ -280,8 +282,9 @@
         reply: Result<PollReply, WorkerError>,
         now: Now,
     ) {
+        let max_lease = self.bounds.max_lease;
         let Some(worker) = self.workers.get_mut(&poll.worker) else { return };
-        worker.lease_expiry = worker.lease_expiry.max(poll.deadline.unwrap_or(0));
+        worker.record_grant(poll.deadline, max_lease, now.mono);
         // A worker that replies gets a permission at once, if its relay has none.
         worker.renewed_by_relay = poll.renews || reply.is_ok();
         self.touched.insert(poll.worker.clone());
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -206,14 +206,31 @@
         granted.max(earlier)
     }
 
+    /// Records a lease expiry that a relay has sent. One that lies beyond the longest lease was
+    /// computed on the clock of an earlier incarnation.
+    pub(crate) fn record_grant(
+        &mut self,
+        deadline: Option<Millis>,
+        max_lease: Millis,
+        now: Millis,
+    ) {
+        let Some(deadline) = deadline else { return };
+        let latest = self.clock_now(now).map(|clock| clock + max_lease);
+        if latest.is_some_and(|latest| deadline <= latest) {
+            self.lease_expiry = self.lease_expiry.max(deadline);
+        } else {
+            self.hold_earlier_leases(max_lease, now);
+        }
+    }
+
     /// Notes that commands issued before a restart was known may have granted, or may still
     /// grant, leases to the new incarnation. Their deadlines are on the clock of the earlier
     /// one, so that only the longest lease limits them.
     pub(crate) fn hold_earlier_leases(&mut self, max_lease: Millis, now: Millis) {
         let in_doubt = |run: &Run| matches!(run.state, RunState::Starting | RunState::Unconfirmed);
         let late = !self.unconfirmed_starts.is_empty() || self.runs.values().any(in_doubt);
-        let delay = if late { MAX_COMMAND_DELAY } else { 0 };
-        self.earlier_leases_end = now + delay + expiry(max_lease);
+        let delay = if late { MAX_COMMAND_DELAY } else { MAX_REPLY_TIME };
+        self.earlier_leases_end = self.earlier_leases_end.max(now + delay + expiry(max_lease));
     }
 
     /// Records a list with its reading of the worker clock. Readings below the last one are
--- a/crates/lead/tests/fleet/mod.rs
+++ b/crates/lead/tests/fleet/mod.rs
@@ -12,6 +12,7 @@
     Completion, Item, Outcome, PolicyReply, Poll, PollReply, RunStatus, Start, Stop, WorkerError,
     WorkerInfo,
 };
+use relay::PollTimes;
 
 /// Time at which a fleet opens.
 pub(crate) const NOW: Now = Now { mono: 100_000, unix: 1_796_000_000_000 };
@@ -294,6 +295,15 @@
         self.lead.on_poll(&id.into(), sent, Ok(reply), time);
     }
 
+    /// Lets a relay's poll time out that may have renewed the leases until `deadline`.
+    pub(crate) fn fail_relayed_poll(&mut self, id: &str, deadline: Millis) {
+        let (worker, at) = (Name::from(id), self.now);
+        let deadline = Some(deadline);
+        let times = PollTimes { worker, sent_at: at, received_at: at, deadline, renews: false };
+        let fault = WorkerError::InDoubt("timeout".into());
+        self.lead.on_relayed_poll(&times, Err(fault), self.time());
+    }
+
     pub(crate) fn drain(&mut self, id: &str) {
         let time = self.time();
         let n = id[1..].parse().expect("a number");
