Refusals of another worker at a lost worker's address are no replies of the lost one

Its leases were never taken as expired and its tasks waited for ever. The new test ran to its 20 s without a start before.

--- a/crates/lead/src/commands.rs
+++ b/crates/lead/src/commands.rs
@@ -59,7 +59,7 @@
                     Refusal::OtherLife => worker.paused_until = now.mono + UNHEALTHY_PAUSE,
                     Refusal::Old | Refusal::Late | Refusal::Ticket | Refusal::Malformed => {}
                 }
-                if let Some(clock) = clock {
+                if let Some(clock) = clock.filter(|_| why != Refusal::OtherLife) {
                     self.on_reply(name, clock, now);
                 }
                 if why == Refusal::Ticket {
--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -312,7 +312,10 @@
         let reply = match reply {
             Ok(reply) => reply,
             Err(WorkerError::Refused(Refusal::Fence, _)) => return self.fenced(id),
-            Err(WorkerError::Refused(_, Some(clock))) => return self.on_reply(id, clock, now),
+            // Another worker replies at its address.
+            Err(WorkerError::Refused(why, Some(clock))) if why != Refusal::OtherLife => {
+                return self.on_reply(id, clock, now);
+            }
             Err(_) => {
                 if let Some(worker) = self.workers.get_mut(id) {
                     worker.unanswered_at = worker.unanswered_at.max(sent);
--- a/crates/lead/tests/fleet/mod.rs
+++ b/crates/lead/tests/fleet/mod.rs
@@ -9,8 +9,8 @@
 use job::{Queue, Spec, StepId, TaskId};
 use lead::{Bounds, Command, Lead, Run, Submitted};
 use port::{
-    Completion, Item, Outcome, PolicyReply, Poll, PollReply, RunStatus, Start, Stop, WorkerError,
-    WorkerInfo,
+    Completion, Item, Outcome, PolicyReply, Poll, PollReply, Refusal, RunStatus, Start, Stop,
+    WorkerError, WorkerInfo,
 };
 use relay::PollTimes;
 
@@ -295,6 +295,14 @@
         self.lead.on_poll(&id.into(), sent, Ok(reply), time);
     }
 
+    /// Lets a poll be refused, with a reading of the clock of the worker that replies.
+    pub(crate) fn refuse_poll(&mut self, id: &str, why: Refusal, clock: Millis) {
+        let (time, sent) = (self.time(), self.now);
+        self.poll(id);
+        let fault = WorkerError::Refused(why, Some(clock));
+        self.lead.on_poll(&id.into(), sent, Err(fault), time);
+    }
+
     /// Lets a relay's poll time out that may have renewed the leases until `deadline`.
     pub(crate) fn fail_relayed_poll(&mut self, id: &str, deadline: Millis) {
         let (worker, at) = (Name::from(id), self.now);
--- a/crates/lead/tests/restart.rs
+++ b/crates/lead/tests/restart.rs
@@ -6,7 +6,7 @@
 use base::Size;
 use fleet::{Fleet, Sent};
 use job::{Spec, Step};
-use port::{Outcome, WorkerError};
+use port::{Outcome, Refusal, WorkerError};
 
 /// Incarnation of a worker after its restart.
 const RESTARTED: u64 = 2;
@@ -274,3 +274,22 @@
     settle(&mut fleet, &first, RESTARTED);
     assert_eq!(fleet.starts().len(), 1);
 }
+
+/// Guards against a task that waits for ever: refusals of another worker at the address of a lost
+/// one were taken for replies of the lost one.
+#[test]
+fn a_worker_whose_address_was_taken_over_is_given_up() {
+    let (mut fleet, sent) = fleet_with_run();
+    let other = if &*sent.0 == "w0" { "w1" } else { "w0" };
+    let lost_at = fleet.now();
+    let mut started = None;
+    while started.is_none() && fleet.now() < lost_at + 20_000 {
+        fleet.advance(100);
+        fleet.list(other, &[], &[]);
+        let clock = fleet.now() - lost_at;
+        fleet.refuse_poll(&sent.0, Refusal::OtherLife, clock);
+        started = (!fleet.starts().is_empty()).then(|| fleet.now() - lost_at);
+    }
+    let started = started.expect("started again");
+    assert!((5_000..7_500).contains(&started), "started again after {started} ms");
+}
