--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -325,10 +325,11 @@
         }
     }
 
-    /// Adopts what the leader knows. Acknowledgements hold for one incarnation only.
+    /// Adopts what the leader knows. Acknowledgements hold for one incarnation only, of which
+    /// this VM may know a newer one.
     fn update(&mut self, mut state: RelayedWorker, permission: u64) {
         self.permission = self.permission.max(permission);
-        if self.incarnation.is_some_and(|known| known != state.incarnation) {
+        if self.incarnation.is_some_and(|known| known > state.incarnation) {
             state.acked = self.state.acked;
         }
         self.state = state;
--- a/crates/relay/tests/sessions.rs
+++ b/crates/relay/tests/sessions.rs
@@ -412,3 +412,20 @@
     let times = &received.polls[0].0;
     assert!(times.sent_at <= sent && times.received_at == times.sent_at + 40, "{times:?}");
 }
+
+/// Guards against a completion that is lost: a relay went on acknowledging the completions of an
+/// incarnation that the leader knew to have ended.
+#[test]
+fn a_relay_adopts_the_restart_of_a_worker_that_the_leader_knows_first() {
+    let mut pair = Pair::open(true);
+    pair.reply(pair.now, Ok(list(1_000, 1, Vec::new())));
+    pair.dispatcher.update(RelayedWorker { acked: 7, ..worker("w", true) });
+    pair.exchange();
+    let orders = pair.take_orders();
+    pair.give(orders);
+    assert_eq!(pair.poll().acked, 7);
+    pair.dispatcher.update(RelayedWorker { incarnation: 2, acked: 0, ..worker("w", false) });
+    let orders = pair.take_orders();
+    pair.give(orders);
+    assert_eq!(pair.poll().acked, 0);
+}
