--- a/crates/lead/src/watch.rs
+++ b/crates/lead/src/watch.rs
@@ -91,7 +91,8 @@
         }
     }
 
-    /// Removes a worker that the store does not list and that has no runs or valid leases.
+    /// Removes a worker that the store does not list and that has no runs, valid leases or starts
+    /// in doubt.
     fn forget(&mut self, id: &Name, now: Now) {
         let settled = self.settled(now);
         let Some(worker) = self.workers.get(id) else { return };
@@ -99,6 +100,7 @@
         if worker.listed
             || worker.renewed_by_relay
             || !worker.runs.is_empty()
+            || !worker.unconfirmed_starts.is_empty()
             || !expired
             || !settled
         {
--- a/crates/lead/tests/fleet/mod.rs
+++ b/crates/lead/tests/fleet/mod.rs
@@ -295,6 +295,12 @@
         self.lead.on_poll(&id.into(), sent, Ok(reply), time);
     }
 
+    /// Removes the record of a worker.
+    pub(crate) fn unlist(&mut self, id: &str) {
+        let time = self.time();
+        self.lead.on_unlisted(&id.into(), time);
+    }
+
     /// Lets a poll be refused, with a reading of the clock of the worker that replies.
     pub(crate) fn refuse_poll(&mut self, id: &str, why: Refusal, clock: Millis) {
         let (time, sent) = (self.time(), self.now);
--- a/crates/lead/tests/restart.rs
+++ b/crates/lead/tests/restart.rs
@@ -293,3 +293,28 @@
     let started = started.expect("started again");
     assert!((5_000..7_500).contains(&started), "started again after {started} ms");
 }
+
+/// Guards against two runs of a task: a worker that had left the list was forgotten with the
+/// starts that its next incarnation could still carry out.
+#[test]
+fn a_start_in_doubt_outlives_the_absence_of_its_worker() {
+    let mut fleet = Fleet::open(2);
+    fleet.accept("a", spec(1));
+    let sent = fleet.starts().remove(0);
+    let other = if &*sent.0 == "w0" { "w1" } else { "w0" };
+    fleet.reply_start(&sent, Err(WorkerError::InDoubt("timeout".into())));
+    fleet.unlist(&sent.0);
+    let mut again = Vec::new();
+    while again.is_empty() {
+        fleet.advance(100);
+        fleet.list(other, &[], &[]);
+        fleet.fail_poll(&sent.0);
+        again = fleet.starts();
+    }
+    fleet.advance(500);
+    fleet.list(other, &[(&again[0].1, 0)], &[]);
+    fleet.commands();
+    fleet.restart(&sent.0, RESTARTED);
+    let stops = fleet.stops();
+    assert!(stops.iter().any(|stop| stop.run == sent.1.run), "{stops:?}");
+}
