Failing test: a task that crashes its workers is started without end

The table of events without the simulation says what counts against a task: crashes, seen once or twice, under the same or a new identifier, by one leader or several; not silence, refusals, leaving workers or restarts of the whole fleet.

--- a/crates/lead/tests/fleet/mod.rs
+++ b/crates/lead/tests/fleet/mod.rs
@@ -7,7 +7,7 @@
 
 use base::{Millis, Name, Now, Size};
 use job::{Queue, Spec, StepId, TaskId};
-use lead::{Bounds, Command, Lead, Run, Submitted};
+use lead::{Bounds, Command, Lead, Run, RunState, Submitted};
 use port::{
     Completion, Item, Outcome, PolicyReply, Poll, PollReply, RunStatus, Start, Stop, WorkerError,
     WorkerInfo,
@@ -24,6 +24,8 @@
     now: Millis,
     last_completion: u64,
     running: Vec<Sent>,
+    /// Workers whose polls time out.
+    down: BTreeSet<Name>,
     /// Records in the store.
     stored: BTreeMap<Name, Vec<u8>>,
 }
@@ -32,7 +34,7 @@
     let kind = if n == 1 { "b" } else { "a" };
     WorkerInfo {
         id: format!("w{n}").into(),
-        addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+        addr: SocketAddr::from(([127, 0, 0, 1], n as u16 + 1)),
         service: "s".into(),
         domain: "d".into(),
         size: Size { cpu: 4_000, memory: 8_000, accel: 0 },
@@ -47,8 +49,9 @@
     /// Opens a leader with workers that have listed their runs.
     pub(crate) fn open(workers: usize) -> Fleet {
         let lead = Lead::open(1, &[], Bounds::default(), NOW);
-        let (running, stored) = (Vec::new(), BTreeMap::new());
-        let mut fleet = Fleet { lead, now: NOW.mono, last_completion: 1_000, running, stored };
+        let (running, down, stored) = (Vec::new(), BTreeSet::new(), BTreeMap::new());
+        let mut fleet =
+            Fleet { lead, now: NOW.mono, last_completion: 1_000, running, down, stored };
         for n in 0..workers {
             fleet.lead.on_worker_info(worker_info(n), NOW);
             fleet.list(&format!("w{n}"), &[], &[]);
@@ -191,7 +194,11 @@
 
     /// Delivers a worker's list of all the runs it is known to have, unchanged.
     pub(crate) fn list_known(&mut self, id: &str) {
-        let runs = &self.lead.workers[id].runs;
+        self.list_known_if(id, &|_| true);
+    }
+
+    fn list_known_if(&mut self, id: &str, filter: &dyn Fn(&Run) -> bool) {
+        let runs = self.lead.workers[id].runs.iter().filter(|(_, run)| filter(run));
         let row = |(task, run): (&TaskId, &Run)| RunStatus {
             task: task.clone(),
             run: run.run_id,
@@ -199,7 +206,7 @@
             percent: run.percent,
             metric: run.metric,
         };
-        let rows = runs.iter().map(row).collect();
+        let rows = runs.map(row).collect();
         self.listed(id, rows, Vec::new());
     }
 
@@ -230,7 +237,8 @@
     fn listed(&mut self, id: &str, running: Vec<RunStatus>, completions: Vec<Completion>) {
         let (time, sent) = (self.time(), self.now);
         self.poll(id);
-        let reply = PollReply { clock: self.now, incarnation: Some(1), running, completions };
+        let incarnation = Some(self.lead.workers[id].info.incarnation);
+        let reply = PollReply { clock: self.now, incarnation, running, completions };
         self.lead.on_poll(&id.into(), sent, Ok(reply), time);
     }
 
@@ -246,7 +254,8 @@
     pub(crate) fn leave(&mut self, id: &str) {
         let time = self.time();
         let n = id[1..].parse().expect("a number");
-        let info = WorkerInfo { draining: true, remaining: Some(0), ..worker_info(n) };
+        let incarnation = self.lead.workers[id].info.incarnation;
+        let info = WorkerInfo { draining: true, remaining: Some(0), incarnation, ..worker_info(n) };
         self.lead.on_worker_info(info, time);
     }
 
@@ -257,6 +266,93 @@
         self.lead.on_worker_info(WorkerInfo { incarnation, ..worker_info(n) }, time);
     }
 
+    /// Restarts a worker: its record and then its list, without runs, name the next incarnation.
+    pub(crate) fn crash(&mut self, id: &str) {
+        self.advance(2_000);
+        let incarnation = self.time().unix;
+        self.restart(id, incarnation);
+        self.list(id, &[], &[]);
+        self.advance(10);
+        self.list(id, &[], &[]);
+    }
+
+    /// Restarts all workers.
+    pub(crate) fn crash_all(&mut self) {
+        self.advance(2_000);
+        let incarnation = self.time().unix;
+        for id in self.ids() {
+            self.restart(&id, incarnation);
+        }
+        self.list_all();
+        self.advance(10);
+        self.list_all();
+    }
+
+    /// Lets a worker's polls time out until its runs have been dropped.
+    pub(crate) fn cut(&mut self, id: &str) {
+        self.down.insert(id.into());
+    }
+
+    /// Replaces a worker that has crashed by one of another identifier at its address.
+    pub(crate) fn replace(&mut self, id: &str) {
+        self.advance(2_000);
+        self.cut(id);
+        let time = self.time();
+        let info = self.lead.workers[id].info.clone();
+        let name: Name = format!("{id}x").into();
+        let info = WorkerInfo { id: name.clone(), incarnation: time.unix, ..info };
+        self.lead.on_worker_info(info, time);
+        self.unlist(id);
+    }
+
+    /// Delivers the record of a worker again.
+    pub(crate) fn record(&mut self, id: &str) {
+        let time = self.time();
+        let info = self.lead.workers[id].info.clone();
+        self.lead.on_worker_info(info, time);
+    }
+
+    /// Removes a worker from the list in the store.
+    pub(crate) fn unlist(&mut self, id: &str) {
+        let time = self.time();
+        self.lead.on_unlisted(&id.into(), time);
+    }
+
+    /// Delivers the records and lists of all workers to a leader that has taken over.
+    pub(crate) fn meet_all(&mut self) {
+        let time = self.time();
+        for id in self.ids() {
+            let n = id[1..].parse().expect("a number");
+            let incarnation = self.lead.workers[&id].info.incarnation;
+            self.lead.on_worker_info(WorkerInfo { incarnation, ..worker_info(n) }, time);
+        }
+        self.list_all();
+    }
+
+    fn ids(&self) -> Vec<Name> {
+        self.lead.workers.keys().cloned().collect()
+    }
+
+    /// Confirms a stop command.
+    pub(crate) fn confirm_stop(&mut self, id: &Name, stop: &Stop) {
+        let time = self.time();
+        self.lead.on_stop(id, &stop.task, stop.run, Ok(self.now), time);
+    }
+
+    /// Delivers the lists of all workers, with the runs that they are known to have but for
+    /// those that were stopped.
+    pub(crate) fn list_all(&mut self) {
+        let workers = &self.lead.workers;
+        self.down.retain(|id| workers.get(id).is_some_and(|worker| !worker.runs.is_empty()));
+        for id in self.ids() {
+            if self.down.contains(&id) {
+                self.fail_poll(&id);
+            } else {
+                self.list_known_if(&id, &|run| run.state != RunState::Stopping);
+            }
+        }
+    }
+
     /// Delivers a list of runs that was requested at `sent` from an incarnation of a worker.
     pub(crate) fn list_since(
         &mut self,
--- a/crates/lead/tests/world/mod.rs
+++ b/crates/lead/tests/world/mod.rs
@@ -3,7 +3,7 @@
 
 mod worker;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use base::{Millis, Name, Now, Size};
 use job::{Queue, Spec, Step, TaskId};
@@ -14,13 +14,21 @@
 pub(crate) use worker::FakeWorker;
 
 /// Unix time of the leader's clock reading 0, in milliseconds.
-const UNIX_OFFSET: Millis = 1_796_000_000_000;
+pub(crate) const UNIX_OFFSET: Millis = 1_796_000_000_000;
 /// Step of the simulated time.
 const TIME_STEP: Millis = 10;
 /// Time after which a command without a reply is in doubt.
 const COMMAND_TIMEOUT: Millis = 700;
 /// Failures of a task after which its job has failed.
 const ATTEMPTS: u32 = 3;
+/// Time for which a deadly task runs before it crashes its worker.
+const DEADLY_TIME: Millis = 20;
+/// Crashes under a task after which its job may be shown as failed.
+const CAUSE_CRASHES: usize = 2;
+/// Crashes under a task after which it may be started `MAX_FURTHER_STARTS` times.
+const MAX_CRASHES: usize = 3;
+/// Starts of a task after `MAX_CRASHES`.
+const MAX_FURTHER_STARTS: u32 = 2;
 /// Delay of a command or reply.
 const NETWORK_DELAY: Millis = 10;
 
@@ -57,6 +65,7 @@
     Stopped(u64, Name, TaskId, u64, Result<Millis, WorkerError>),
     Listed(u64, Name, Millis, Result<PollReply, WorkerError>),
     Stored(u64, Batch),
+    Return(Name),
     TakeOver,
 }
 
@@ -72,6 +81,14 @@
     acknowledged: BTreeMap<TaskId, Millis>,
     /// Failed runs of each task.
     failed: BTreeMap<TaskId, u32>,
+    /// Tasks that crash their workers.
+    pub(crate) deadly: BTreeSet<TaskId>,
+    /// Whether crashed workers come back under identifiers of their own.
+    pub(crate) renamed: bool,
+    /// Workers that crashed under each deadly task.
+    pub(crate) crashed: BTreeMap<TaskId, Vec<Name>>,
+    /// Starts of each deadly task after `MAX_CRASHES`.
+    further_starts: BTreeMap<TaskId, u32>,
     /// Records in the store.
     stored: BTreeMap<Name, Vec<u8>>,
     /// Until when the store is unavailable.
@@ -124,6 +141,10 @@
             violations: Vec::new(),
             acknowledged: BTreeMap::new(),
             failed: BTreeMap::new(),
+            deadly: BTreeSet::new(),
+            renamed: false,
+            crashed: BTreeMap::new(),
+            further_starts: BTreeMap::new(),
             stored: BTreeMap::new(),
             outage_until: 0,
             appending: false,
@@ -200,6 +221,7 @@
                 *self.failed.entry(task).or_default() += 1;
             }
         }
+        self.crash_by_task();
         self.check_failed();
         let time = self.time();
         let commands = self.lead.as_mut().map(|lead| {
@@ -226,7 +248,11 @@
             let until = self.now + self.rng.random_range(500..9_000);
             self.workers.get_mut(&id).unwrap().unreachable_until = until;
         }
-        if self.chance(faults.crash * second) {
+        if self.renamed {
+            if self.chance(faults.crash * second) && self.workers[&id].down_until <= self.now {
+                self.crash_worker(&id);
+            }
+        } else if self.chance(faults.crash * second) {
             let down_until = self.now + self.rng.random_range(100..4_000);
             let incarnation = self.now;
             self.workers.get_mut(&id).unwrap().crash(incarnation, down_until);
@@ -237,6 +263,41 @@
         }
     }
 
+    /// Crashes the workers of deadly tasks. They are back after 3 to 3.5 s.
+    fn crash_by_task(&mut self) {
+        let due = |worker: &&FakeWorker| {
+            let runs = worker.runs.iter();
+            let mut runs = runs.filter(|(task, _)| self.deadly.contains(task));
+            runs.any(|(_, run)| self.now >= run.started_at + DEADLY_TIME)
+        };
+        let due: Vec<Name> =
+            self.workers.values().filter(due).map(|worker| worker.id.clone()).collect();
+        for id in due {
+            let runs = self.workers[&id].runs.clone();
+            for (task, _) in runs.into_iter().filter(|(task, _)| self.deadly.contains(task)) {
+                self.crashed.entry(task).or_default().push(id.clone());
+            }
+            self.crash_worker(&id);
+        }
+    }
+
+    /// Crashes a worker, which is back after 3 to 3.5 s.
+    pub(crate) fn crash_worker(&mut self, id: &Name) {
+        let down = self.rng.random_range(3_000..3_500);
+        let back_at = self.now + down;
+        let worker = self.workers.get_mut(id).unwrap();
+        if !self.renamed {
+            worker.crash(back_at, back_at);
+            return self.schedule(down, Event::Return(id.clone()));
+        }
+        worker.runs.clear();
+        worker.down_until = Millis::MAX;
+        let name: Name = format!("{id}x").into();
+        let successor = worker.successor(name.clone(), back_at);
+        self.workers.insert(name.clone(), successor);
+        self.schedule(down, Event::Return(name));
+    }
+
     fn chance(&mut self, p: f64) -> bool {
         p > 0.0 && self.rng.random_bool(p)
     }
@@ -268,7 +329,9 @@
         let time = self.time();
         self.lead = Some(Lead::open(self.epoch, &items, Bounds::default(), time));
         self.appending = false;
-        let ids: Vec<Name> = self.workers.keys().cloned().collect();
+        let gone = |worker: &&FakeWorker| self.renamed && worker.down_until > self.now;
+        let up = self.workers.values().filter(|worker| !gone(worker));
+        let ids: Vec<Name> = up.map(|worker| worker.id.clone()).collect();
         for id in ids {
             self.announce(&id);
             self.send_poll(&id, false);
@@ -432,6 +495,15 @@
                     lead.on_stored(&batch, time);
                 }
             }
+            Event::Return(id) => {
+                self.announce(&id);
+                if self.renamed
+                    && let Some(lead) = &mut self.lead
+                {
+                    lead.on_unlisted(&id[..id.len() - 1].into(), time);
+                }
+                self.send_poll(&id, false);
+            }
             Event::TakeOver => self.take_over(),
             Event::Started(..) | Event::Stopped(..) | Event::Listed(..) | Event::Stored(..) => {}
         }
@@ -472,7 +544,12 @@
         let Some(lead) = &self.lead else { return };
         let shown_failed = |id: &Name| lead.state(id) == Some(job::State::Failed);
         let used_up = |id: &Name| self.failed.iter().any(|(t, n)| t.job == *id && *n >= ATTEMPTS);
-        for id in self.specs.keys().filter(|id| shown_failed(id) && !used_up(id)) {
+        let deadly = |id: &Name| {
+            let mut crashed = self.crashed.iter();
+            crashed.any(|(task, workers)| task.job == *id && workers.len() >= CAUSE_CRASHES)
+        };
+        let without_cause = |id: &&Name| shown_failed(id) && !used_up(id) && !deadly(id);
+        for id in self.specs.keys().filter(without_cause) {
             self.violations.push(format!("{id} is shown as failed at {}", self.now));
         }
     }
@@ -489,6 +566,13 @@
                 id, self.now
             ));
         }
+        if self.crashed.get(task).is_some_and(|workers| workers.len() >= MAX_CRASHES) {
+            let starts = self.further_starts.entry(task.clone()).or_default();
+            *starts += 1;
+            if *starts > MAX_FURTHER_STARTS {
+                self.violations.push(format!("{id} started the deadly {task} at {}", self.now));
+            }
+        }
         let cpu = self.step_of(task).size.cpu;
         let taken: u64 = self.workers[id].runs.values().map(|run| run.cpu).sum();
         if taken + cpu > self.workers[id].info().size.cpu {
--- a/crates/lead/tests/world/worker.rs
+++ b/crates/lead/tests/world/worker.rs
@@ -6,6 +6,8 @@
     Completion, Outcome, Poll, PollReply, Refusal, RunStatus, Start, Stop, WorkerError, WorkerInfo,
 };
 
+use super::UNIX_OFFSET;
+
 /// Longest lease that a worker accepts.
 const MAX_LEASE: Millis = 10_000;
 /// Time from a stop command to the end of the run.
@@ -20,7 +22,7 @@
 pub(crate) struct FakeRun {
     pub(crate) run: u64,
     pub(crate) cpu: u64,
-    started_at: Millis,
+    pub(crate) started_at: Millis,
     ends_at: Millis,
     fails: bool,
     long_running: bool,
@@ -56,6 +58,7 @@
     closed_runs: BTreeMap<TaskId, u64>,
     /// Tasks whose runs have failed since the simulation last drained the list.
     pub(crate) failed: Vec<TaskId>,
+    port: u16,
 }
 
 impl FakeWorker {
@@ -74,20 +77,21 @@
             last_number: 0,
             closed_runs: BTreeMap::new(),
             failed: Vec::new(),
+            port: n as u16 + 1,
         }
     }
 
     pub(crate) fn info(&self) -> WorkerInfo {
         WorkerInfo {
             id: self.id.clone(),
-            addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+            addr: SocketAddr::from(([127, 0, 0, 1], self.port)),
             service: self.service.clone(),
             domain: "d".into(),
             size: self.size,
             labels: vec!["a".into(), "r".into()],
             draining: false,
             remaining: None,
-            incarnation: self.incarnation,
+            incarnation: UNIX_OFFSET + self.incarnation,
         }
     }
 
@@ -104,10 +108,18 @@
             incarnation,
             down_until,
             unreachable_until: self.unreachable_until,
+            port: self.port,
             ..fresh
         };
     }
 
+    /// Returns the worker that is at the address of this one once that has crashed, under an
+    /// identifier of its own.
+    pub(crate) fn successor(&self, id: Name, incarnation: Millis) -> FakeWorker {
+        let fresh = FakeWorker::open(0, &self.service, self.size.cpu);
+        FakeWorker { id, incarnation, port: self.port, down_until: incarnation, ..fresh }
+    }
+
     /// Ends the runs that are due, or all of them if the leases have expired.
     pub(crate) fn work(&mut self, now: Millis) {
         if self.clock(now) >= self.lease_expiry {
@@ -227,7 +239,7 @@
             self.completions.iter().filter(|completion| completion.number > request.acked).cloned();
         Ok(PollReply {
             clock,
-            incarnation: Some(self.incarnation),
+            incarnation: Some(UNIX_OFFSET + self.incarnation),
             running: running.collect(),
             completions: unacked.collect(),
         })
