A task that crashes its workers is given up after crashes that only it can have caused

Cause: a run that was lost with its worker left no trace with its task; and a copy of a run that stood still on a dead worker crashed the next one before the first was known to be gone. Change: a crash is known by a new incarnation under the same identifier or at the same address. Candidates are the runs that no list has shown 300 ms of worker clock after their start. Each of their tasks records the crash (worker, incarnation, whether it was the only candidate) in the progress record, whose earlier form is still read. Suspects start one at a time on isolated workers, at most a tenth of them. Two crashes with one candidate end the job; a run that outlives the probation clears its task. Crashes of several workers that come back together are no evidence. Ruled out: counting against all tasks of the worker (shows sound jobs as failed); waiting for three crashes of any kind (the same).

--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -9,6 +9,6 @@
 pub use crate::{
     manifest::{Manifest, Queue},
     progress::{Job, Occurrence, State, StepId, StepState, Task, TaskId},
-    record::{JobRecord, Progress, StepProgress, WorkerRecord},
+    record::{Crash, JobRecord, Progress, StepProgress, WorkerRecord},
     spec::{Repeat, Spec, SpecError, Step},
 };
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -3,7 +3,7 @@
 use base::{Millis, Name};
 use serde::{Deserialize, Serialize};
 
-use crate::{JobRecord, Progress, Queue, Spec, Step, StepProgress};
+use crate::{Crash, JobRecord, Progress, Queue, Spec, Step, StepProgress};
 
 /// Identifies a task of a job; displayed as `JOB.OCCURRENCE.STEP.INDEX`.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -72,6 +72,9 @@
     /// Numbers of the failed runs. The numbers are kept, not a count, so that a failure
     /// that a worker reports again to a new leader counts once.
     pub failed_runs: Vec<u64>,
+    /// Crashes of workers that it may have caused, since it last ran for long enough to show
+    /// that it does not crash its worker.
+    pub crashes: Vec<Crash>,
     /// Newest checkpoint; empty where there is none.
     pub checkpoint: Name,
     /// Workers that have or may have a run of it.
@@ -191,6 +194,12 @@
             }
             job.in_progress.insert(occ, state);
         }
+        for (occurrence, step, index, crashes) in progress.crashes {
+            let task = TaskId { job: job.id.clone(), occurrence, step, index };
+            if let Some(task) = job.task_mut(&task) {
+                task.crashes = crashes;
+            }
+        }
         job
     }
 
@@ -208,7 +217,26 @@
             ended_at: self.ended_at,
             finished: self.finished.clone(),
             in_progress,
+            crashes: if self.is_terminal() { Vec::new() } else { self.crashes() },
+        }
+    }
+
+    /// Returns the tasks that are not done and may have crashed workers, by occurrence, step
+    /// and index.
+    pub fn crashes(&self) -> Vec<(u32, u32, u32, Vec<Crash>)> {
+        let mut crashes = Vec::new();
+        for (occ, state) in &self.in_progress {
+            for (step, state) in state.steps.iter().enumerate() {
+                let blamed = state.tasks.iter().enumerate();
+                let blamed = blamed.filter(|(_, task)| !task.done && !task.crashes.is_empty());
+                crashes.extend(
+                    blamed.map(|(index, task)| {
+                        (*occ, step as u32, index as u32, task.crashes.clone())
+                    }),
+                );
+            }
         }
+        crashes
     }
 
     /// Returns the job record to store.
--- a/crates/job/src/record.rs
+++ b/crates/job/src/record.rs
@@ -30,6 +30,30 @@
     /// Occurrences in progress, with the progress of each step.
     #[serde(rename = "open")]
     pub in_progress: Vec<(u32, Vec<StepProgress>)>,
+    /// Tasks that are not done, by occurrence, step and index, with the crashes that they may
+    /// have caused. Records of earlier versions end before this field.
+    #[serde(deserialize_with = "or_default")]
+    pub crashes: Vec<(u32, u32, u32, Vec<Crash>)>,
+}
+
+/// A crash of a worker that a task may have caused.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// Worker that crashed.
+    pub worker: Name,
+    /// Incarnation of the worker that crashed.
+    pub incarnation: u64,
+    /// Whether no other task can have caused it.
+    pub sole: bool,
+}
+
+/// Reads a field that is missing at the end of earlier records.
+fn or_default<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: serde::Deserializer<'de>,
+    T: Deserialize<'de> + Default,
+{
+    Ok(T::deserialize(deserializer).unwrap_or_default())
 }
 
 /// Progress of the tasks of one step.
--- a/crates/job/tests/jobs.rs
+++ b/crates/job/tests/jobs.rs
@@ -2,7 +2,7 @@
 //! rebuilding a job from its stored records.
 
 use base::Size;
-use job::{Job, JobRecord, Manifest, Progress, Queue, Repeat, Spec, State, Step, TaskId};
+use job::{Crash, Job, JobRecord, Manifest, Progress, Queue, Repeat, Spec, State, Step, TaskId};
 use quickcheck::quickcheck;
 
 fn step(count: u32, after: &[u32]) -> Step {
@@ -69,6 +69,26 @@
     TaskId { job: "j".into(), occurrence: occ, step, index }
 }
 
+/// Guards against jobs that start anew after an update: a record that could not be read would
+/// leave them without progress.
+#[test]
+fn crashes_are_restored_and_earlier_records_without_them_are_read() {
+    let crash = Crash { worker: "w".into(), incarnation: 7, sole: true };
+    let mut job = job(spec(vec![step(2, &[])]));
+    job.begin(0);
+    job.open_steps(0);
+    job.finish(&id(0, 0, 0));
+    job.task_mut(&id(0, 0, 1)).unwrap().crashes.push(crash.clone());
+    let again = restored(&job);
+    assert!(again.task(&id(0, 0, 0)).unwrap().done);
+    assert_eq!(again.task(&id(0, 0, 1)).unwrap().crashes, [crash]);
+    job.task_mut(&id(0, 0, 1)).unwrap().crashes.clear();
+    let mut bytes = postcard::to_stdvec(&job.progress()).unwrap();
+    assert_eq!(bytes.pop(), Some(0), "the number of tasks with crashes");
+    let earlier: Progress = postcard::from_bytes(&bytes).unwrap();
+    assert_eq!(earlier, job.progress());
+}
+
 #[test]
 fn a_step_opens_once_all_before_it_are_done() {
     let mut job = job(spec(vec![step(2, &[]), step(1, &[0])]));
--- a/crates/lead/src/commands.rs
+++ b/crates/lead/src/commands.rs
@@ -39,6 +39,9 @@
             // Otherwise the command in flight is the stop command.
             run.in_flight = false;
         }
+        if matches!(reply, Err(WorkerError::Refused(..) | WorkerError::Unsent(_))) {
+            run.crash = None;
+        }
         match reply {
             Ok(clock) => {
                 if run.state == RunState::Starting || run.state == RunState::Unconfirmed {
@@ -46,6 +49,7 @@
                     run.confirmed_at = now.mono;
                     run.progress_at = now.mono;
                 }
+                run.since = run.since.or(Some(clock));
                 worker.record_reply(clock, now.mono);
                 if let Some(job) = self.jobs.get_mut(&id.job) {
                     job.started = true;
--- a/crates/lead/src/completions.rs
+++ b/crates/lead/src/completions.rs
@@ -156,6 +156,9 @@
         if let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id)) {
             task.workers.retain(|other| other != name);
         }
+        if let Some(crash) = run.crash {
+            self.blame(id, crash);
+        }
         self.stop_gang(id);
         self.enqueue(id);
     }
--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -8,7 +8,7 @@
 use port::{Item, Start, Stop, Throttle, WorkerAddr};
 
 use crate::{
-    Worker, interference::InterferenceModel, journal::Journal, policy::StepPolicy,
+    Worker, crashes::Return, interference::InterferenceModel, journal::Journal, policy::StepPolicy,
     preemption::Reservation,
 };
 
@@ -138,6 +138,12 @@
     settled: bool,
     /// Jobs with occurrences that have not begun.
     recurring: BTreeSet<Name>,
+    /// Tasks that may crash their workers and are started in isolation.
+    pub(crate) suspects: BTreeSet<TaskId>,
+    /// Workers that get no tasks but suspects.
+    pub(crate) isolated: BTreeSet<Name>,
+    /// Crashes of workers that came back recently.
+    pub(crate) returns: Vec<Return>,
 }
 
 impl Lead {
@@ -173,6 +179,9 @@
             settle_deadline: now.mono + wait as Millis,
             settled: false,
             recurring: BTreeSet::new(),
+            suspects: BTreeSet::new(),
+            isolated: BTreeSet::new(),
+            returns: Vec::new(),
         };
         lead.restore(items, now);
         lead
@@ -394,6 +403,7 @@
             self.workers_checked = now.mono;
             self.run_timers(now);
             self.check_workers(now);
+            self.check_suspects(now);
             self.enforce_targets(now);
             self.handle_stragglers(now);
         }
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod commands;
 mod completions;
+mod crashes;
 mod gang;
 mod interference;
 mod journal;
--- a/crates/lead/src/place.rs
+++ b/crates/lead/src/place.rs
@@ -63,6 +63,16 @@
                 gangs.entry((id.occurrence, id.step)).or_default().push(id);
                 continue;
             }
+            if self.suspects.contains(&id) {
+                match self.find_isolated(&id, now) {
+                    Some(worker) => {
+                        self.start_task(&id, &worker, now);
+                        pass.starts += 1;
+                    }
+                    None => left.push(id),
+                }
+                continue;
+            }
             // Tasks of one step have the same requirements: if one cannot be placed, neither
             // can the others.
             if full_step == Some(id.step) {
--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -28,7 +28,9 @@
         if new {
             worker.record_batch = Some(self.journal.add_worker(&id));
             event!("worker_new", worker = id, addr = info.addr, cpu = info.size.cpu);
+            self.note_replaced(&info);
         }
+        let Some(worker) = self.workers.get_mut(&id) else { return new };
         let restarted = !new && worker.info.incarnation < info.incarnation;
         if worker.info.incarnation > info.incarnation {
             // The record is of an earlier incarnation.
@@ -37,6 +39,7 @@
         if info.draining && !worker.info.draining {
             event!("worker_draining", worker = id, left = info.remaining.unwrap_or(0));
         }
+        worker.leaving |= info.draining && !restarted;
         worker.listed = true;
         if worker.record_batch.is_none() && !info.draining {
             worker.record_batch = Some(self.journal.add_worker(&id));
@@ -62,6 +65,7 @@
     /// are certainly gone. A command may have reached the new incarnation before the restart
     /// was known, or may still reach it: its next list tells.
     fn on_restart(&mut self, id: &Name, incarnation: u64, source: &str, now: Now) {
+        self.note_restart(id, incarnation);
         let batch = self.journal.add_worker(id);
         let max_lease = self.bounds.max_lease;
         let Some(worker) = self.workers.get_mut(id) else { return };
@@ -252,6 +256,7 @@
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.record_reply(reply.clock, now.mono);
+        worker.lost.clear();
         // Replies may arrive out of order.
         let stale = reply.clock < worker.list_clock;
         worker.list_clock = worker.list_clock.max(reply.clock);
@@ -269,7 +274,9 @@
         let listed: BTreeSet<(TaskId, u64)> =
             reply.running.iter().map(|row| (row.task.clone(), row.run)).collect();
         for row in reply.running {
+            let task = row.task.clone();
             self.on_running(id, row, reply.incarnation, now);
+            self.observe_run(id, &task, reply.incarnation, reply.clock);
         }
         self.record_measurements(id, now);
         if !full {
--- a/crates/lead/src/preemption.rs
+++ b/crates/lead/src/preemption.rs
@@ -145,8 +145,9 @@
             else {
                 continue;
             };
-            let mut of_step =
+            let of_step =
                 tasks.iter().filter(|t| (t.occurrence, t.step) == (step.occurrence, step.step));
+            let mut of_step = of_step.filter(|task| !self.suspects.contains(task));
             let Some(first) = of_step.next() else { continue };
             let plain = job
                 .step(first)
--- a/crates/lead/src/restore.rs
+++ b/crates/lead/src/restore.rs
@@ -28,6 +28,7 @@
             self.jobs.insert(id.clone(), job);
             self.activate(&id, now);
         }
+        self.restore_suspects();
         event!(
             "restored",
             epoch = self.epoch,
--- a/crates/lead/src/run.rs
+++ b/crates/lead/src/run.rs
@@ -1,5 +1,5 @@
 use base::{Millis, Name, Size};
-use job::Step;
+use job::{Crash, Step};
 
 /// State of a run as far as the leader knows it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,6 +38,12 @@
     /// Newest incarnation of the worker that has listed the run; `None` until one has. Replies
     /// to commands do not name the incarnation.
     pub incarnation: Option<u64>,
+    /// Worker clock when it was first known to run; `None` until it is.
+    pub(crate) since: Option<Millis>,
+    /// Whether it has run for long enough to show that it does not crash its worker.
+    pub(crate) proven: bool,
+    /// Crash of its worker that it caused, unless the next incarnation has it.
+    pub(crate) crash: Option<Crash>,
     /// When to repeat a command that got no reply.
     pub retry_at: Millis,
     /// Whether a command for the run awaits its reply.
@@ -69,6 +75,9 @@
             started_at: now,
             confirmed_at: 0,
             incarnation: None,
+            since: None,
+            proven: false,
+            crash: None,
             retry_at: 0,
             in_flight: true,
             percent: 0,
--- a/crates/lead/src/search.rs
+++ b/crates/lead/src/search.rs
@@ -178,7 +178,8 @@
         self.evaluated.set(self.evaluated.get() + 1);
         let usable = worker.usable(self.durable_batch(), now.mono) && req.accepts(worker);
         let ticket = || !req.needs_ticket || self.ticket(id, &worker.info.id, now).is_some();
-        if !usable || self.reserved(&worker.info.id, id, now) || !ticket() {
+        let reserved = self.reserved(&worker.info.id, id, now);
+        if !usable || reserved || !self.may_share(id, worker) || !ticket() {
             return None;
         }
         let interference = |service_image: &Name| match losses.get(service_image) {
--- a/crates/lead/src/watch.rs
+++ b/crates/lead/src/watch.rs
@@ -57,6 +57,7 @@
         worker.synced = false;
         self.touched.insert(id.clone());
         let runs: Vec<TaskId> = worker.runs.keys().cloned().collect();
+        self.note_lost(id);
         for task in runs {
             self.drop_run(id, &task, "lease_expired", now);
         }
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -71,6 +71,12 @@
     pub unanswered_at: Millis,
     /// Until when the worker gets no new work.
     pub paused_until: Millis,
+    /// Whether this incarnation has said that it is leaving.
+    pub(crate) leaving: bool,
+    /// Whether this incarnation is known to have crashed.
+    pub(crate) crashed: bool,
+    /// Runs of this incarnation whose leases have expired and that may have crashed it.
+    pub(crate) lost: Vec<(TaskId, u64)>,
     /// Consecutive failed runs.
     pub failures: u32,
     /// When best-effort tasks on it were last moved or throttled.
@@ -122,6 +128,9 @@
             replied_at: 0,
             unanswered_at: 0,
             paused_until: 0,
+            leaving: false,
+            crashed: false,
+            lost: Vec::new(),
             failures: 0,
             adjusted_at: 0,
             target_missed: false,
