No copies of suspects; crashes whose starts were not confirmed count as well

A copy of a suspect's run started on a second isolated worker 1 s after the first had crashed; the leader died before it learned of that crash, and a reply was lost with its worker, so that the crash proved nothing. Change: a run that no list has shown yet is copied once, in isolation, and not at all if its task was a suspect when it started or a crash is recorded. Three crashes with one candidate prove a task deadly although their starts were not confirmed.

--- a/crates/job/src/record.rs
+++ b/crates/job/src/record.rs
@@ -45,6 +45,8 @@
     pub incarnation: u64,
     /// Whether no other task can have caused it.
     pub sole: bool,
+    /// Whether the worker had confirmed that it started the task.
+    pub confirmed: bool,
 }
 
 /// Reads a field that is missing at the end of earlier records.
--- a/crates/lead/src/crashes.rs
+++ b/crates/lead/src/crashes.rs
@@ -9,8 +9,11 @@
 /// Time on the worker clock after which a run has shown that it does not crash its worker, in
 /// milliseconds. Tasks that crash their workers do so as soon as they run.
 const PROBATION: Millis = 300;
-/// Crashes that only one task can have caused after which it is given up.
+/// Crashes that only one task can have caused, and whose starts were confirmed, after which it
+/// is given up.
 const MAX_SOLE_CRASHES: usize = 2;
+/// The same with starts that were not confirmed.
+const MAX_UNCONFIRMED_CRASHES: usize = 3;
 /// Crashes under a task after which one that only it can have caused suffices.
 const MAX_CRASHES: usize = 5;
 /// Time between the returns of two workers within which they may have crashed for the same
@@ -99,8 +102,8 @@
             runs = worker.runs.len(),
             candidates = candidates.len()
         );
-        let crash =
-            |sole| Crash { worker: id.clone(), incarnation, sole: sole && run_ids.len() == 1 };
+        let sole = run_ids.len() == 1;
+        let crash = |confirmed| Crash { worker: id.clone(), incarnation, sole, confirmed };
         for run in worker.runs.values_mut().filter(|run| run.may_crash()) {
             run.crash = Some(crash(run.since.is_some()));
         }
@@ -137,6 +140,7 @@
             worker = crash.worker,
             born = crash.incarnation,
             sole = crash.sole,
+            confirmed = crash.confirmed,
             crashes = task.crashes.len() + 1
         );
         task.crashes.push(crash);
@@ -225,8 +229,12 @@
     /// Whether the crashes under a task prove that it crashes its workers.
     fn is_proven_deadly(&self, id: &TaskId) -> bool {
         let crashes = self.crashes_of(id);
-        let sole = crashes.iter().filter(|crash| crash.sole && !self.is_mass(crash)).count();
-        sole >= MAX_SOLE_CRASHES || (sole > 0 && crashes.len() >= MAX_CRASHES)
+        let sole = crashes.iter().filter(|crash| crash.sole && !self.is_mass(crash));
+        let confirmed = sole.clone().filter(|crash| crash.confirmed).count();
+        let sole = sole.count();
+        confirmed >= MAX_SOLE_CRASHES
+            || sole >= MAX_UNCONFIRMED_CRASHES
+            || (sole > 0 && crashes.len() >= MAX_CRASHES)
     }
 
     /// Whether other workers crashed together with the one that a task may have crashed.
@@ -272,6 +280,18 @@
         self.journal.add_progress(&id.job);
     }
 
+    /// Whether a copy of a run may start. One of a run that no list has shown yet starts in
+    /// isolation, and none while a crash may still turn out to be due to a suspect.
+    pub(crate) fn may_copy(&mut self, worker: &Name, id: &TaskId) -> bool {
+        let run = self.workers.get(worker).and_then(|worker| worker.runs.get(id));
+        let Some(run) = run.filter(|run| !run.proven) else { return true };
+        if run.suspect || !self.crashes_of(id).is_empty() {
+            return false;
+        }
+        self.suspects.insert(id.clone());
+        true
+    }
+
     /// Whether a task may start beside the runs on a worker: a suspect only where no other run
     /// can be blamed for a crash.
     pub(crate) fn may_share(&self, id: &TaskId, worker: &Worker) -> bool {
@@ -312,8 +332,9 @@
                 run.is_some_and(|run| !run.proven)
             };
             isolated.extend(task.workers.iter().filter(unproven).cloned());
-            let copies = job.and_then(|job| job.step(id)).is_some_and(|step| step.speculative);
-            if task.queued || (copies && task.workers.len() == 1) {
+            let step = job.and_then(|job| job.step(id));
+            let copied = step.is_some_and(|step| step.speculative) && task.crashes.is_empty();
+            if task.queued || (copied && task.workers.len() == 1) {
                 waiting.push(id);
             }
         }
--- a/crates/lead/src/place.rs
+++ b/crates/lead/src/place.rs
@@ -149,7 +149,8 @@
         let clock = worker.clock_now(now.mono).unwrap_or(0);
         let deadline = clock + lease;
         worker.lease_expiry = worker.lease_expiry.max(deadline);
-        worker.add(id.clone(), Run::starting(run_id, &step, now.mono));
+        let suspect = self.suspects.contains(id);
+        worker.add(id.clone(), Run { suspect, ..Run::starting(run_id, &step, now.mono) });
         let start =
             Start { task: id.clone(), run: run_id, text, deadline, token, checkpoint, ticket };
         self.commands.push(Command::Start(worker.addr(), start));
--- a/crates/lead/src/run.rs
+++ b/crates/lead/src/run.rs
@@ -40,6 +40,8 @@
     pub incarnation: Option<u64>,
     /// Worker clock when it was first known to run; `None` until it is.
     pub(crate) since: Option<Millis>,
+    /// Whether its task was a suspect when it started.
+    pub(crate) suspect: bool,
     /// Whether it has run for long enough to show that it does not crash its worker.
     pub(crate) proven: bool,
     /// Crash of its worker that it caused, unless the next incarnation has it.
@@ -76,6 +78,7 @@
             confirmed_at: 0,
             incarnation: None,
             since: None,
+            suspect: false,
             proven: false,
             crash: None,
             retry_at: 0,
--- a/crates/lead/src/stragglers.rs
+++ b/crates/lead/src/stragglers.rs
@@ -104,9 +104,8 @@
 
     /// Starts a second run of a task on another worker.
     fn start_copy(&mut self, worker: &Name, id: &TaskId, why: &str, now: Now) {
-        let run = self.workers.get(worker).and_then(|worker| worker.runs.get(id));
-        if run.is_some_and(|run| !run.proven) {
-            self.suspects.insert(id.clone());
+        if !self.may_copy(worker, id) {
+            return;
         }
         let elsewhere = |other: &Name, _| other != worker;
         let Some(place) = self.find_worker_where(id, now, &elsewhere) else { return };
--- a/crates/lead/tests/crashes.rs
+++ b/crates/lead/tests/crashes.rs
@@ -77,6 +77,18 @@
             renamed: false,
             faults: Faults { lost_reply: 0.1, ..NONE },
         },
+        Case {
+            name: "half of the replies lost",
+            step: plain.clone(),
+            renamed: true,
+            faults: Faults { lost_reply: 0.5, ..NONE },
+        },
+        Case {
+            name: "copies, leaders die",
+            step: Step { speculative: true, ..plain.clone() },
+            renamed: true,
+            faults: Faults { takeover: 0.1, lost_reply: 0.1, ..NONE },
+        },
         Case {
             name: "workers crash",
             step: plain.clone(),
