--- a/crates/lead/src/stragglers.rs
+++ b/crates/lead/src/stragglers.rs
@@ -104,6 +104,9 @@
 
     /// Starts a second run of a task on another worker.
     fn start_copy(&mut self, worker: &Name, id: &TaskId, why: &str, now: Now) {
+        if !self.may_copy(worker, id) {
+            return;
+        }
         let elsewhere = |other: &Name, _| other != worker;
         let Some(place) = self.find_worker_where(id, now, &elsewhere) else { return };
         event!("copy", task = id, from = worker, to = place, why = why);
