--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -17,6 +17,7 @@
 mod poll;
 mod preemption;
 mod priority;
+mod restart;
 mod restore;
 mod run;
 mod search;
--- /dev/null
+++ b/crates/lead/src/restart.rs
@@ -0,0 +1,123 @@
+use std::collections::BTreeSet;
+
+use base::{Millis, Name, Now, event};
+use job::TaskId;
+
+use crate::{Command, Lead, Run, RunState};
+
+impl Lead {
+    /// Handles the restart of a worker. Only the runs that an earlier incarnation has listed
+    /// are certainly gone. A command may have reached the new incarnation before the restart
+    /// was known, or may still reach it: its next list tells.
+    pub(crate) fn on_restart(&mut self, id: &Name, incarnation: u64, source: &str, now: Now) {
+        self.note_restart(id, incarnation);
+        let batch = self.journal.add_worker(id);
+        let max_lease = self.bounds.max_lease;
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        event!(
+            "worker_restarted",
+            worker = id,
+            born = incarnation,
+            source = source,
+            age = now.unix.saturating_sub(incarnation),
+            runs = worker.runs.len()
+        );
+        worker.info.incarnation = incarnation;
+        worker.restarted_at = now.mono;
+        worker.record_batch = Some(batch);
+        worker.synced = false;
+        worker.clock = None;
+        worker.list_clock = 0;
+        worker.lease_expiry = 0;
+        worker.last_completion = 0;
+        worker.acked = 0;
+        worker.pending_acks.clear();
+        worker.hold_earlier_leases(max_lease, now.mono);
+        let unconfirmed: BTreeSet<(TaskId, u64)> = worker
+            .unconfirmed_starts
+            .iter()
+            .map(|(task, run_id, _)| (task.clone(), *run_id))
+            .collect();
+        let mut gone = Vec::new();
+        for (task, run) in &mut worker.runs {
+            let may_start = unconfirmed.contains(&(task.clone(), run.run_id));
+            match run.state {
+                RunState::Unconfirmed | RunState::Starting => run.retry_at = now.mono,
+                RunState::Stopping if run.confirmed_at == 0 || may_start => {
+                    run.resend_stop(now.mono)
+                }
+                _ if run.incarnation.is_some_and(|listed| listed < incarnation) => {
+                    gone.push(task.clone());
+                }
+                _ => {}
+            }
+        }
+        for task in gone {
+            self.drop_run(id, &task, "worker_reborn", now);
+        }
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if !worker.runs.is_empty() {
+            self.commands.push(Command::Poll(id.clone()));
+        }
+        let late_starts = worker.late_starts();
+        for (task, run_id) in late_starts {
+            self.add_late_start(id, task, run_id, now);
+        }
+    }
+
+    /// Handles the end of a run that was kept over the restart of its worker: an earlier start
+    /// of its task may still be carried out in the present incarnation.
+    pub(crate) fn guard_late_start(&mut self, id: &Name, task: TaskId, now: Now) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let mut starts = worker.unconfirmed_starts.iter().rev();
+        let start = starts.find(|(other, _, at)| *other == task && *at < worker.restarted_at);
+        if let Some(run_id) = start.map(|(_, run_id, _)| *run_id) {
+            self.add_late_start(id, task, run_id, now);
+        }
+    }
+
+    /// Handles the clock reading in the reply to a command. If it shows a restart, the worker
+    /// has to list its runs before it gets more work.
+    pub(crate) fn on_reply(&mut self, id: &Name, clock: Millis, now: Now) {
+        let max_lease = self.bounds.max_lease;
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if !worker.record_reply(clock, now.mono) || !worker.synced {
+            return;
+        }
+        event!("worker_clock_behind", worker = id, clock = clock);
+        worker.synced = false;
+        worker.hold_earlier_leases(max_lease, now.mono);
+        self.doubt(id, now);
+    }
+
+    /// Notes that a worker may have restarted without the leader's knowledge, and polls it.
+    pub(crate) fn doubt(&mut self, id: &Name, now: Now) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.doubted_at = now.mono;
+        self.touched.insert(id.clone());
+        self.commands.push(Command::Poll(id.clone()));
+    }
+
+    /// Adds a run that may still begin on a worker, in the state in which it gets a stop
+    /// command. Its task is not started elsewhere, and its capacity not used, until the worker
+    /// has confirmed that the run will not begin.
+    fn add_late_start(&mut self, id: &Name, task: TaskId, run_id: u64, now: Now) {
+        let job = self.jobs.get(&task.job);
+        let step = job.and_then(|job| job.step(&task)).cloned().unwrap_or_default();
+        let run = Run {
+            state: RunState::Stopping,
+            retry_at: now.mono,
+            in_flight: false,
+            progress_at: now.mono,
+            ..Run::starting(run_id, &step, 0)
+        };
+        self.dequeue(&task);
+        let state = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(&task));
+        if let Some(state) = state.filter(|state| !state.done) {
+            state.workers.push(id.clone());
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.add(task, run);
+        }
+    }
+}
