--- a/crates/lead/tests/fleet/mod.rs
+++ b/crates/lead/tests/fleet/mod.rs
@@ -176,6 +176,12 @@
         self.lead.on_start(&sent.0, &sent.1.task, sent.1.run, Ok(clock), time);
     }
 
+    /// Confirms a start through a relay whose times are early by `early`.
+    pub(crate) fn reply_start_early(&mut self, sent: &Sent, early: Millis) {
+        let time = Now { mono: self.now - early, ..self.time() };
+        self.lead.on_start(&sent.0, &sent.1.task, sent.1.run, Ok(self.now), time);
+    }
+
     /// Confirms a stop with a reading of the worker clock.
     pub(crate) fn reply_stop_at(&mut self, sent: &Sent, clock: Millis) {
         let time = self.time();
--- a/crates/lead/tests/restart.rs
+++ b/crates/lead/tests/restart.rs
@@ -318,3 +318,41 @@
     let stops = fleet.stops();
     assert!(stops.iter().any(|stop| stop.run == sent.1.run), "{stops:?}");
 }
+
+/// Guards against two runs of a task: a worker restarts, holds the longest lease on its earlier
+/// clock and is cut off, and a leader that takes over waits for shorter leases only.
+#[test]
+fn a_new_leader_waits_for_the_leases_of_a_restarted_worker() {
+    let (mut fleet, sent) = fleet_with_run();
+    let other = if &*sent.0 == "w0" { "w1" } else { "w0" };
+    fleet.restart(&sent.0, RESTARTED);
+    fleet.store();
+    let restarted_at = fleet.now();
+    fleet.take_over();
+    fleet.restart(&sent.0, RESTARTED);
+    fleet.restart(other, 1);
+    fleet.store();
+    let mut started = None;
+    while started.is_none() && fleet.now() < restarted_at + 20_000 {
+        fleet.advance(100);
+        fleet.list(other, &[], &[]);
+        fleet.fail_poll(&sent.0);
+        started = (!fleet.starts().is_empty()).then(|| fleet.now() - restarted_at);
+    }
+    let started = started.expect("started again");
+    assert!(started >= 10_200, "started again after {started} ms");
+}
+
+/// Guards against two runs of a task: a relay's times are early, so that a start confirmed
+/// through it seems older than a list that the leader had requested before.
+#[test]
+fn a_start_confirmed_by_a_relay_is_not_missed_by_an_earlier_list() {
+    let mut fleet = Fleet::open(2);
+    fleet.accept("a", spec(1));
+    let sent = fleet.starts().remove(0);
+    let polled_at = fleet.now();
+    fleet.advance(100);
+    fleet.reply_start_early(&sent, 300);
+    fleet.list_since(&sent.0, polled_at, 1, &[]);
+    assert!(fleet.starts().is_empty(), "the list was requested before the start was confirmed");
+}
--- a/crates/lead/tests/schedules.rs
+++ b/crates/lead/tests/schedules.rs
@@ -143,3 +143,24 @@
     assert!(world.violations.is_empty(), "{}, seed {seed}: {:#?}", case.name, world.violations);
     assert!(world.done(), "{}, seed {seed}: {}", case.name, world.report());
 }
+
+/// Guards against a task that runs again after its acknowledged completion: a command that got no
+/// reply is carried out by the next incarnation of the worker.
+#[test]
+fn guarantees_hold_when_late_commands_meet_restarts() {
+    const CASES: &[Case] = &[
+        Case {
+            name: "workers crash while commands are late",
+            faults: Faults { crash: 0.4, late_command: 0.15, ..NONE },
+        },
+        Case {
+            name: "workers restart before it is known while commands are late",
+            faults: Faults { crash: 0.6, record_delay: 1_500, late_command: 0.15, ..NONE },
+        },
+    ];
+    for case in CASES {
+        for seed in 1..=100 {
+            run_schedule(case, seed);
+        }
+    }
+}
