--- a/crates/lead/tests/schedules.rs
+++ b/crates/lead/tests/schedules.rs
@@ -164,3 +164,11 @@
         }
     }
 }
+
+/// Guards against a sound job that is given up, since workers crashed by chance while its task
+/// had just started on them.
+#[test]
+fn sound_jobs_are_not_given_up_for_crashes_by_chance() {
+    let case = CASES.iter().find(|case| case.name == "workers crash").expect("a case");
+    run_schedule(case, 77);
+}
