--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -246,10 +246,10 @@
 class Store:
     def __init__(self, record, net):
         self.record, self.net, self.topics = record, net, {}
-        self.changed = asyncio.Event()
         self.refused_records = 0
 
     async def open(self):
+        self.changed = asyncio.Event()
         self.server, self.port = await serve_http("127.0.0.1", self.handle, self.net, "store")
 
     def topic(self, name):
@@ -392,8 +392,9 @@
         self.start()
         self.loop = asyncio.create_task(self.tick())
 
-    def start(self):
-        self.born, self.booted = unix_ms(), now_ms()
+    def start(self, ahead_ms=0):
+        """A new life; `ahead_ms` is how much the machine's time of day is ahead."""
+        self.born, self.booted = unix_ms() + ahead_ms, now_ms()
         self.token, self.deadline, self.number = 0, 0, 0
         self.runs, self.highest, self.finished = {}, {}, []
         self.up = True
@@ -405,8 +406,8 @@
             self.book.ended(task, run["run"], self.name, "lost_with_worker")
         self.runs, self.up = {}, False
 
-    def restart(self):
-        self.start()
+    def restart(self, ahead_ms=0):
+        self.start(ahead_ms)
         self.record("worker_back", worker=self.name, born=self.born)
 
     def clock(self):
