--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,33 +16,32 @@
 
 
 async def case(world):
-    for name in [*NORTH, "north-1", "north-2", "store"]:
-        world.net.side[name] = "north"
-    for name in [*SOUTH, "south-1", "south-2"]:
-        world.net.side[name] = "south"
-    vms = [("north-1", "north", 0.25), ("north-2", "north", 0.25)]
-    # As in the grown installations, some VMs have more of a core; the leader is one of them.
-    vms += [("south-1", "south", 0.5), ("south-2", "south", 0.5)]
+    domains = {"north": [*NORTH, "north-1", "north-2"], "south": [*SOUTH, "south-1", "south-2"]}
+    for domain, members in domains.items():
+        world.net.side.update((name, domain) for name in members)
+    # As in the grown installations, some VMs have more of a core.
+    vms = [("south-1", "south", 0.5), ("south-2", "south", 0.5)]
+    vms += [("north-1", "north", 0.25), ("north-2", "north", 0.25)]
     workers = [(name, "north") for name in NORTH] + [(name, "south") for name in SOUTH]
     await world.open(vms, workers)
     await asyncio.sleep(1)
-    leader = world.leader()
-    world.record("leader", vm=leader.name)
-    if leader.zone != "south":
-        raise RuntimeError("the leader isn't in the domain that is to be cut off")
+    # The domain of the leader is the one to be cut off; the platform is on the other side.
+    cut_off = world.leader().zone
+    world.net.side["store"] = "north" if cut_off == "south" else "south"
+    world.record("leader", vm=world.leader().name)
     steps = [{"count": 5, "cpu": 6000, "mem_mb": 500, "estimate_ms": 60000}]
     status, _ = await world.submit(world.vms[0], JOB, steps, {"ms": [60000], "cpu": [6000]})
     await asyncio.sleep(3)
-    on_south = [task for task, runs in world.book.running.items() if set(runs) & set(SOUTH)]
-    if status != 200 or not on_south:
+    inside = [task for task, runs in world.book.running.items() if set(runs) & set(domains[cut_off])]
+    if status != 200 or not inside:
         raise RuntimeError("no task runs in the domain that is to be cut off")
     if standin.TROUBLE:
         world.net.cut = True
-        world.record("domain_cut_off", domain="south")
+        world.record("domain_cut_off", domain=cut_off)
     await asyncio.sleep(CUT_S)
     if standin.TROUBLE:
         world.net.cut = False
-        world.record("domain_is_back", domain="south")
+        world.record("domain_is_back", domain=cut_off)
     await asyncio.sleep(6)
     await world.state(world.vms[0], JOB)
     return [
