--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A worker goes down and up by turns for some seconds. A lasting job has one task on each worker."""
+"""A worker crashes and starts again; soon after, its failure domain is cut off, leader and all."""
 
 import asyncio
 import os
@@ -8,39 +8,61 @@
 sys.path.insert(0, os.path.join(HERE, "..", "common"))
 import standin  # noqa: E402
 
-JOB = "00000000000000b3"
-# One worker of ten; five turns of 1.1 s, as in the site files.
-WORKERS, TURNS, PERIOD_S = 10, 5, 1.1
+OLD, FILLING, TASKS = "00000000000000a3", "00000000000000c", "00000000000000b3"
+# The worker is down for half a second. Its first entry in the store comes 0.6 s after its start,
+# within a ping interval. The domain is cut off 0.7 s after the worker's start, for 12 s.
+DOWN_S, ENTRY_MS, CUT_AFTER_S, CUT_S = 0.5, 600, 0.7, 12
+ZONES = ["zone-1", "zone-2", "zone-3"]
+
+
+def step(cpu, ms, zone=None):
+    fields = {"count": 1, "cpu": cpu, "mem_mb": 500, "estimate_ms": ms}
+    return [{**fields, "requires": f"r-{zone}"} if zone else fields], {"ms": [ms], "cpu": [cpu]}
 
 
 async def case(world):
-    vms = [(f"edge-{number}", f"zone-{number}", 0.25) for number in (1, 2, 3)]
-    workers = [(f"{number + 1:016x}", f"zone-{1 + number % 3}") for number in range(WORKERS)]
+    vms = [(f"edge-{number}", zone, 0.25) for number, zone in enumerate(ZONES)]
+    workers = [(f"{number + 1:016x}", zone) for number, zone in enumerate(ZONES)]
+    world.net.side.update((name, zone) for name, zone, _ in vms)
+    world.net.side.update(workers)
     await world.open(vms, workers)
     await asyncio.sleep(1)
-    step = {"count": WORKERS, "cpu": 2000, "mem_mb": 500, "long_running": True, "anti_affinity": 1}
-    status, _ = await world.submit(world.vms[0], JOB, [step], {"ms": [0], "cpu": [2000]})
+    cut_off = world.leader().zone
+    world.record("leader", vm=world.leader().name)
+    # Everything outside of the leader's domain is on one side, with the platform.
+    for name, zone in world.net.side.items():
+        world.net.side[name] = "inside" if zone == cut_off else "outside"
+    world.net.side["store"] = "outside"
+    worker = next(worker for worker in world.workers if worker.zone == cut_off)
+    # The other workers are full for a while.
+    status, _ = await world.submit(world.vms[0], OLD, *step(12000, 9000, cut_off))
+    for number, zone in enumerate(zone for zone in ZONES if zone != cut_off):
+        await world.submit(world.vms[0], f"{FILLING}{number}", *step(15500, 9000, zone))
     await asyncio.sleep(3)
-    if status != 200 or sum(1 for runs in world.book.running.values() if runs) != WORKERS:
-        raise RuntimeError("the lasting tasks don't run")
-    worker = world.workers[0]
-    for _ in range(TURNS):
-        if standin.TROUBLE:
-            worker.crash()
-        await asyncio.sleep(PERIOD_S / 2)
-        if standin.TROUBLE:
-            worker.restart()
-        await asyncio.sleep(PERIOD_S / 2)
-    state = None
-    for _ in range(12):
-        await asyncio.sleep(1)
-        state = await world.state(world.vms[0], JOB)
-    at_work = sum(1 for runs in world.book.running.values() if runs)
-    world.record("at_the_end", state=state, tasks_at_work=at_work)
-    failed = sum(world.book.failed.values())
-    if state == "failed":
-        return [f"LOST: {JOB} is shown as failed; ends failed: {failed}; tasks at work: {at_work}"]
-    return []
+    if status != 200 or sum(1 for runs in world.book.running.values() if runs) != len(ZONES):
+        raise RuntimeError("the workers aren't in use")
+    if standin.TROUBLE:
+        worker.crash()
+    await asyncio.sleep(DOWN_S)
+    if standin.TROUBLE:
+        worker.restart()
+        worker.pinged = standin.now_ms() - standin.PING_MS + ENTRY_MS
+    await world.submit(world.vms[0], TASKS, *step(1500, 20000))
+    await asyncio.sleep(CUT_AFTER_S)
+    if f"{TASKS}.0.0.0" not in worker.runs:
+        raise RuntimeError("the task isn't on the worker")
+    if standin.TROUBLE:
+        world.net.cut = True
+        world.record("domain_cut_off", domain=cut_off)
+    await asyncio.sleep(CUT_S)
+    if standin.TROUBLE:
+        world.net.cut = False
+        world.record("domain_is_back", domain=cut_off)
+    await asyncio.sleep(4)
+    return [
+        f"TWICE: {task} begins on {other} while it runs on {others}"
+        for _, task, other, others in world.book.overlaps
+    ]
 
 
 standin.main(HERE, case)
--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -385,6 +385,7 @@
         self.store, self.book, self.net, self.record = store, book, net, record
         self.cpu, self.up, self.seq = cpu, False, 0
         self.tail = tail or (lambda worker, task: 10)
+        self.labels = ["a", f"r-{zone}"]
         self.silent_since = None
 
     async def open(self):
@@ -426,7 +427,7 @@
                 "service": self.service, "address": f"127.0.0.1:{self.port}", "zone": self.zone,
                 "version": "1", "slots": 64, "state": "ready", "cold_remaining_ms": 0,
                 "seq": self.seq, "capacity": {"cpu": self.cpu, "mem_mb": 64000, "gpu": 0},
-                "labels": ["a", f"r-{self.zone}"], "born": self.born,
+                "labels": self.labels, "born": self.born,
             }
             if not self.store.value(*key) or self.entry_born != self.born:
                 self.entry_born = self.born
