A leader's permission to decide moves to elect

No change of behaviour: the newest confirmation and its time limit were two fields of the process and are a module without I/O, `elect::lease`, so that the rule can be tested in simulated time.

--- a/crates/elect/src/elect.rs
+++ b/crates/elect/src/elect.rs
@@ -8,6 +8,7 @@
 use crate::{
     Heartbeat, Purpose, Vm,
     fanout::{CORE_INTERVAL, Schedule},
+    lease::LeaderLease,
     overload::Overload,
 };
 
@@ -96,6 +97,8 @@
     append_hold_at: Millis,
     /// When this VM became the leader.
     leading_since: Millis,
+    /// Whether this VM may decide as the leader.
+    lease: LeaderLease,
     pub(crate) schedule: Schedule,
     /// Whether this VM is the leader.
     pub leading: bool,
@@ -132,6 +135,7 @@
             takeover_requested: false,
             append_hold_at: 0,
             leading_since: 0,
+            lease: LeaderLease::default(),
             schedule: Schedule::default(),
             leading: false,
             store_reachable: false,
@@ -168,6 +172,12 @@
             self.add_vm(vm.clone());
         }
         self.update_leader(&heartbeat, now);
+        if self.leading
+            && heartbeat.epoch == self.epoch
+            && heartbeat.leader.as_ref() == Some(&self.me)
+        {
+            self.lease.confirm(now);
+        }
         if heartbeat.purpose == Purpose::TakeOver && heartbeat.epoch >= self.epoch {
             self.takeover_requested = true;
         }
@@ -212,6 +222,8 @@
         self.leader = Some(Leader { epoch, vm: self.me.clone() });
         self.leading_since = now;
         self.append_hold_at = 0;
+        self.lease = LeaderLease::default();
+        self.lease.confirm(now);
         self.leading = true;
         self.contact_at = now;
         self.takeover_requested = false;
@@ -328,6 +340,26 @@
         Some(relay.map_or(leader.vm.clone(), |(_, vm)| vm.clone()))
     }
 
+    /// Records that the store has confirmed this leader at time `at`.
+    pub fn on_store_confirmed(&mut self, at: Millis) {
+        self.lease.confirm(at);
+    }
+
+    /// Records that this process was suspended: what it knew may have changed meanwhile.
+    pub fn on_suspension(&mut self) {
+        self.lease.revoke();
+    }
+
+    /// Returns until when this VM may decide; 0 if it may not.
+    pub fn decides_until(&self) -> Millis {
+        if self.leading { self.lease.expires_at() } else { 0 }
+    }
+
+    /// Returns whether this VM is the leader and may decide.
+    pub fn may_decide(&self, now: Millis) -> bool {
+        now < self.decides_until()
+    }
+
     /// Returns the leader, `None` while none is known.
     pub fn leader(&self) -> Option<&Leader> {
         self.leader.as_ref()
--- a/crates/elect/src/lib.rs
+++ b/crates/elect/src/lib.rs
@@ -5,9 +5,11 @@
 mod elect;
 mod fanout;
 mod heartbeat;
+mod lease;
 mod overload;
 
 pub use crate::{
     elect::{Election, Leader},
     heartbeat::{Heartbeat, Purpose, Vm},
+    lease::EVIDENCE_TTL,
 };
--- a/crates/node/src/append.rs
+++ b/crates/node/src/append.rs
@@ -88,7 +88,7 @@
     metrics::histogram!("append_ms").record(took as f64);
     shared.unavailable_since = 0;
     shared.append_started = 0;
-    shared.confirmed_at = time.mono;
+    shared.election.on_store_confirmed(time.mono);
     let Some(lead) = shared.lead_in(epoch) else { return };
     lead.on_stored(batch, time);
     let stored = lead.durable_batch();
--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -2,17 +2,13 @@
 
 use async_std::task::{sleep, spawn_local};
 use base::{Millis, event, now};
-use elect::Vm;
+use elect::{EVIDENCE_TTL, Vm};
 use lead::{Bounds, Lead, OWNER};
 use port::{Append, AppendError, Item, Record, Table, Topic};
 use relay::Dispatcher;
 use serde::{Deserialize, Serialize};
 
-use crate::{
-    send::announce_claim,
-    state::{MAX_UNCONFIRMED, Node},
-    store, workers,
-};
+use crate::{send::announce_claim, state::Node, store, workers};
 
 /// Upper bound of a claim's sequence number. It is random, so that two claims of one
 /// epoch are not mistaken for retries of each other.
@@ -133,7 +129,7 @@
     let bounds = Bounds {
         lease: MAX_LEASE.min(configured.max_lease),
         max_lease: configured.max_lease,
-        isolation_limit: MAX_UNCONFIRMED,
+        isolation_limit: EVIDENCE_TTL,
         remote_factor: configured.remote_factor,
         restore_time: configured.restore_time,
         max_impact: configured.max_interference,
@@ -149,7 +145,6 @@
         shared.next_seq = seq + 1;
         shared.unavailable_since = 0;
         shared.append_started = 0;
-        shared.confirmed_at = time.mono;
         shared.election.become_leader(epoch, time.mono);
     }
     event!("leading", epoch = epoch, vm = node.me.name);
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -14,7 +14,7 @@
 use crate::{
     decide::execute,
     msg::PeerRequest,
-    state::{MAX_UNCONFIRMED, Node, Shared},
+    state::{Node, Shared},
     workers,
 };
 
@@ -217,7 +217,7 @@
     let reply = {
         let mut shared = node.shared.borrow_mut();
         let valid_for = match shared.may_decide(time.mono) {
-            true => (shared.confirmed_at + MAX_UNCONFIRMED).saturating_sub(time.mono),
+            true => shared.election.decides_until().saturating_sub(time.mono),
             false => 0,
         };
         let Shared { lead, dispatcher, .. } = &mut *shared;
--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -50,15 +50,11 @@
 async fn receive(node: &Rc<Node>, heartbeat: Heartbeat) {
     let time = now();
     let from = heartbeat.from.clone();
-    let (purpose, epoch, leader) = (heartbeat.purpose, heartbeat.epoch, heartbeat.leader.clone());
+    let (purpose, epoch) = (heartbeat.purpose, heartbeat.epoch);
     let reply = {
         let mut shared = node.shared.borrow_mut();
         let known = shared.election.epoch();
         shared.election.on_heartbeat(heartbeat, time.mono);
-        let own = shared.lead.as_ref().map(|lead| lead.epoch);
-        if own == Some(epoch) && leader.is_some_and(|vm| vm == node.me) {
-            shared.confirmed_at = time.mono;
-        }
         if epoch > known {
             shared.relay.on_epoch(epoch);
             event!("leader_heard", epoch = epoch, from = from.name);
@@ -109,7 +105,7 @@
 async fn tick(node: &Rc<Node>, ticker: &mut Ticker, now: Now) {
     if ticker.ticked_at > 0 && now.mono > ticker.ticked_at + MAX_TICK_GAP {
         event!("stopped_gap", ms = now.mono - ticker.ticked_at);
-        node.shared.borrow_mut().confirmed_at = 0;
+        node.shared.borrow_mut().election.on_suspension();
     }
     let late = now.mono.saturating_sub(ticker.ticked_at + TICK_INTERVAL.as_millis() as Millis);
     if ticker.ticked_at > 0 {
@@ -126,7 +122,7 @@
         let alone = shared.lead.is_some() && shared.election.is_alone();
         shared.election.expire_peers(now.mono);
         if alone {
-            shared.confirmed_at = now.mono;
+            shared.election.on_store_confirmed(now.mono);
         }
         alone
     };
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -22,9 +22,6 @@
 
 use crate::{Error, error::DatagramsSnafu};
 
-/// Age of the last confirmation that another VM follows this leader, beyond which it
-/// makes no decisions.
-pub(crate) const MAX_UNCONFIRMED: Millis = 2_000;
 /// Leader silence from which this VM reports that it is not ready for callers.
 const MAX_SILENCE: Millis = 3_000;
 
@@ -91,8 +88,6 @@
     pub(crate) append_started: Millis,
     /// Start of the current outage of appends; 0 while they succeed.
     pub(crate) unavailable_since: Millis,
-    /// Last confirmation that another VM follows this leader; 0 if there is none.
-    pub(crate) confirmed_at: Millis,
     /// Whether a request for another VM's manifest is in flight.
     pub(crate) fetching: bool,
     /// Last request for another VM's manifest.
@@ -139,7 +134,6 @@
             waiters: Vec::new(),
             append_started: 0,
             unavailable_since: 0,
-            confirmed_at: 0,
             fetching: false,
             fetched_at: 0,
             links: BTreeMap::new(),
@@ -212,10 +206,9 @@
 }
 
 impl Shared {
-    /// Returns whether this VM is the leader and was recently confirmed as such, so that it
-    /// may make decisions.
+    /// Returns whether this VM is the leader and may decide.
     pub(crate) fn may_decide(&self, now: Millis) -> bool {
-        self.lead.is_some() && now < self.confirmed_at + MAX_UNCONFIRMED
+        self.lead.is_some() && self.election.may_decide(now)
     }
 
     /// Returns the leader state if this VM is still the leader in `epoch`.
