A leader decides only while no other VM can have claimed

Cause: each heartbeat of a follower confirmed the leader for 2 s. A follower in the same partition sends them for as long as the cut lasts, so the leader went on beside its successor, renewed leases in its domain and gave up those outside. The successor relies on the end of the decisions.

Change: heartbeats return the time at which the leader sent the newest one that arrived. The leader needs such a word from every other VM that it knows, or the store's answer to an append, and each counts from when it asked, not from the receipt.

Ruled out: that the old leader's orders passed the cut (the script's record shows none from the other side), and a fault of the fence (workers that both reached refused the lower epoch).

--- a/crates/elect/src/elect.rs
+++ b/crates/elect/src/elect.rs
@@ -85,6 +85,9 @@
     contact_at: Millis,
     /// Interval at which the leader sends heartbeats to this VM.
     leader_interval: Millis,
+    /// When the leader sent the newest heartbeat that was received, on its clock; 0 if there is
+    /// none of this epoch.
+    leader_sent_at: Millis,
     /// Last contact of another VM with the leader, and that VM.
     indirect_contact: Option<(Millis, Vm)>,
     /// Time before which this VM makes no claim.
@@ -129,6 +132,7 @@
             epoch: 0,
             contact_at: now.saturating_sub(CLAIM_AFTER - STARTUP_DELAY),
             leader_interval: CORE_INTERVAL,
+            leader_sent_at: 0,
             indirect_contact: None,
             backoff_until: 0,
             queried_at: 0,
@@ -172,12 +176,7 @@
             self.add_vm(vm.clone());
         }
         self.update_leader(&heartbeat, now);
-        if self.leading
-            && heartbeat.epoch == self.epoch
-            && heartbeat.leader.as_ref() == Some(&self.me)
-        {
-            self.lease.confirm(now);
-        }
+        self.update_lease(&heartbeat);
         if heartbeat.purpose == Purpose::TakeOver && heartbeat.epoch >= self.epoch {
             self.takeover_requested = true;
         }
@@ -203,9 +202,11 @@
             // No contact yet: query the other VMs at once.
             self.contact_at = now.saturating_sub(SUSPECT_AFTER);
             self.leader_interval = CORE_INTERVAL;
+            self.leader_sent_at = 0;
         }
         if heartbeat.leading {
             self.contact_at = now;
+            self.leader_sent_at = self.leader_sent_at.max(heartbeat.sent_at);
             // Heartbeats that announce a takeover or reply to a query have no interval.
             if heartbeat.interval > 0 {
                 self.leader_interval = heartbeat.interval;
@@ -216,6 +217,14 @@
         }
     }
 
+    /// Records a follower's word that it does not lead.
+    fn update_lease(&mut self, heartbeat: &Heartbeat) {
+        let follows = heartbeat.epoch == self.epoch && heartbeat.leader.as_ref() == Some(&self.me);
+        if self.leading && follows {
+            self.lease.on_word(&heartbeat.from.name, heartbeat.echo);
+        }
+    }
+
     /// Records that this VM has become the leader in an epoch.
     pub fn become_leader(&mut self, epoch: u64, now: Millis) {
         self.epoch = epoch;
@@ -223,7 +232,6 @@
         self.leading_since = now;
         self.append_hold_at = 0;
         self.lease = LeaderLease::default();
-        self.lease.confirm(now);
         self.leading = true;
         self.contact_at = now;
         self.takeover_requested = false;
@@ -340,9 +348,10 @@
         Some(relay.map_or(leader.vm.clone(), |(_, vm)| vm.clone()))
     }
 
-    /// Records that the store has confirmed this leader at time `at`.
-    pub fn on_store_confirmed(&mut self, at: Millis) {
-        self.lease.confirm(at);
+    /// Records that the store has confirmed this leader, in answer to a request sent at `sent_at`:
+    /// no other VM had claimed by then.
+    pub fn on_store_confirmed(&mut self, sent_at: Millis) {
+        self.lease.on_store(sent_at);
     }
 
     /// Records that this process was suspended: what it knew may have changed meanwhile.
@@ -352,7 +361,7 @@
 
     /// Returns until when this VM may decide; 0 if it may not.
     pub fn decides_until(&self) -> Millis {
-        if self.leading { self.lease.expires_at() } else { 0 }
+        if self.leading { self.lease.expires_at(self.known.keys()) } else { 0 }
     }
 
     /// Returns whether this VM is the leader and may decide.
@@ -474,6 +483,8 @@
             claiming: self.claiming,
             interval: 0,
             others,
+            sent_at: now,
+            echo: self.leader_sent_at,
         }
     }
 }
--- a/crates/elect/src/heartbeat.rs
+++ b/crates/elect/src/heartbeat.rs
@@ -71,4 +71,9 @@
     pub interval: Millis,
     /// Some of the VMs that the sender has recently heard from; only a leader fills it in.
     pub others: Vec<Vm>,
+    /// When it was sent, on the sender's clock.
+    pub sent_at: Millis,
+    /// `sent_at` of the newest heartbeat that the sender has received from its leader; 0 if there
+    /// is none. It proves to the leader that the sender followed it at that time.
+    pub echo: Millis,
 }
--- a/crates/elect/tests/claim.rs
+++ b/crates/elect/tests/claim.rs
@@ -34,6 +34,8 @@
         claiming: false,
         interval: 0,
         others: Vec::new(),
+        sent_at: 0,
+        echo: 0,
     }
 }
 
--- /dev/null
+++ b/crates/elect/tests/lease.rs
@@ -0,0 +1,167 @@
+//! For how long a leader may decide, in simulated time.
+
+use std::net::SocketAddr;
+
+use base::Millis;
+use elect::{EVIDENCE_TTL, Election, Heartbeat, Purpose, Vm};
+
+/// Step of the simulated time: the interval of the ticker.
+const TICK: Millis = 50;
+/// Time at which the cluster starts.
+const START: Millis = 10_000;
+/// Delay of a heartbeat.
+const DELAY: Millis = 5;
+
+fn vm(index: usize) -> Vm {
+    Vm {
+        name: format!("vm-{index}").into(),
+        domain: "d".into(),
+        addr: SocketAddr::from(([127, 0, 0, 1], index as u16 + 1)),
+        incarnation: 1,
+        cpu_capacity: 250,
+    }
+}
+
+/// VMs that exchange heartbeats; VM 0 leads.
+struct Cluster {
+    now: Millis,
+    vms: Vec<Election>,
+    /// Whether a heartbeat passes from one VM to another.
+    passes: Box<dyn Fn(usize, usize) -> bool>,
+    /// Heartbeats on their way, with the time of arrival, sender and receiver.
+    in_flight: Vec<(Millis, usize, usize, Heartbeat)>,
+}
+
+impl Cluster {
+    /// Starts VMs that all know each other, and runs them until all follow VM 0.
+    fn open(size: usize) -> Cluster {
+        let open = |index| {
+            let mut election = Election::new(vm(index), START);
+            election.store_reachable = true;
+            (0..size).for_each(|other| election.add_vm(vm(other)));
+            election
+        };
+        let vms = (0..size).map(open).collect();
+        let mut cluster =
+            Cluster { now: START, vms, passes: Box::new(|_, _| true), in_flight: Vec::new() };
+        cluster.vms[0].become_leader(5, START);
+        cluster.vms[0].on_store_confirmed(START);
+        cluster.run(3_000);
+        cluster
+    }
+
+    fn cut(&mut self, passes: impl Fn(usize, usize) -> bool + 'static) {
+        self.passes = Box::new(passes);
+    }
+
+    fn run(&mut self, period: Millis) {
+        let end = self.now + period;
+        while self.now < end {
+            self.now += TICK;
+            for index in 0..self.vms.len() {
+                let (heartbeat, targets) = self.vms[index].due_heartbeats(self.now);
+                for (vm, interval) in targets {
+                    self.send(index, &vm, Heartbeat { interval, ..heartbeat.clone() });
+                }
+            }
+            self.deliver();
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &Vm, heartbeat: Heartbeat) {
+        let to = usize::from(to.addr.port()) - 1;
+        if (self.passes)(from, to) {
+            self.in_flight.push((self.now + DELAY, from, to, heartbeat));
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some(next) = self.in_flight.iter().position(|(at, ..)| *at < self.now + TICK) {
+            let (at, from, to, heartbeat) = self.in_flight.remove(next);
+            let query = heartbeat.purpose == Purpose::Query;
+            self.vms[to].on_heartbeat(heartbeat, at);
+            if query {
+                let reply = self.vms[to].heartbeat(Purpose::Report, at);
+                self.send(to, &vm(from), reply);
+            }
+        }
+    }
+
+    fn leader_decides(&self) -> bool {
+        self.vms[0].may_decide(self.now)
+    }
+}
+
+/// Guards against two runs of a task: a leader whose failure domain was cut off went on, confirmed
+/// by a follower in the same domain, beside the leader that had succeeded it.
+#[test]
+fn a_leader_decides_only_while_no_other_vm_can_have_claimed() {
+    struct Case {
+        name: &'static str,
+        passes: fn(usize, usize) -> bool,
+        decides: bool,
+    }
+    let cases = [
+        Case { name: "all are in touch, without the store", passes: |_, _| true, decides: true },
+        Case {
+            name: "cut off with one follower of three",
+            passes: |from, to| from / 2 == to / 2,
+            decides: false,
+        },
+        Case {
+            name: "one follower is cut off",
+            passes: |from, to| from != 3 && to != 3,
+            decides: false,
+        },
+        Case {
+            name: "nothing gets to the leader from one follower",
+            passes: |from, to| (from, to) != (3, 0),
+            decides: false,
+        },
+        Case {
+            name: "nothing gets from the leader to one follower",
+            passes: |from, to| (from, to) != (0, 3),
+            decides: false,
+        },
+        Case { name: "cut off alone", passes: |from, to| from > 0 && to > 0, decides: false },
+    ];
+    for case in cases {
+        let mut cluster = Cluster::open(4);
+        assert!(cluster.leader_decides(), "{}: before", case.name);
+        cluster.cut(case.passes);
+        cluster.run(EVIDENCE_TTL + 2 * TICK);
+        assert_eq!(cluster.leader_decides(), case.decides, "{}", case.name);
+        cluster.run(8_000);
+        assert_eq!(cluster.leader_decides(), case.decides, "{}: later", case.name);
+    }
+}
+
+/// Guards against evidence that is older than it seems: it counted from its receipt, which a
+/// pause of the receiver or a delay on the way puts off.
+#[test]
+fn evidence_counts_from_when_it_was_asked_for() {
+    struct Case {
+        name: &'static str,
+        evidence: fn(&mut Election, Heartbeat),
+    }
+    let cases = [
+        Case {
+            name: "an answer of the store",
+            evidence: |leader, _| leader.on_store_confirmed(START + 3_000),
+        },
+        Case {
+            name: "a word of the only follower",
+            evidence: |leader, word| leader.on_heartbeat(word, START + 9_000),
+        },
+    ];
+    for case in cases {
+        let mut cluster = Cluster::open(2);
+        let query = cluster.vms[0].heartbeat(Purpose::Query, START + 3_000);
+        cluster.vms[1].on_heartbeat(query, START + 3_005);
+        let word = cluster.vms[1].heartbeat(Purpose::Report, START + 8_900);
+        (case.evidence)(&mut cluster.vms[0], word);
+        let end = START + 3_000 + EVIDENCE_TTL;
+        assert!(cluster.vms[0].may_decide(end - 1), "{}", case.name);
+        assert!(!cluster.vms[0].may_decide(end), "{}", case.name);
+    }
+}
--- a/crates/node/src/append.rs
+++ b/crates/node/src/append.rs
@@ -86,9 +86,10 @@
     }
     let took = time.mono.saturating_sub(shared.append_started);
     metrics::histogram!("append_ms").record(took as f64);
+    // A repeated append may have been carried out at the first attempt.
+    let sent_at = std::mem::take(&mut shared.append_started);
     shared.unavailable_since = 0;
-    shared.append_started = 0;
-    shared.election.on_store_confirmed(time.mono);
+    shared.election.on_store_confirmed(sent_at);
     let Some(lead) = shared.lead_in(epoch) else { return };
     lead.on_stored(batch, time);
     let stored = lead.durable_batch();
--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -67,9 +67,9 @@
     let seq = rand::random::<u64>() % MAX_FIRST_SEQ;
     let mine = Owner { epoch, vm: node.me.clone() };
     append(node, &mine, seq, table.end).await?;
-    confirm(node, &mine, table.end).await?;
+    let claimed_at = confirm(node, &mine, table.end).await?;
     let worker_table = (store.newest)(Topic::Workers).await.map_err(|e| e.to_string())?;
-    start_leading(node, epoch, seq, &table, worker_table);
+    start_leading(node, epoch, seq, claimed_at, &table, worker_table);
     Ok(())
 }
 
@@ -96,15 +96,16 @@
     }
 }
 
-/// Reads the log back to confirm that this claim came first.
-async fn confirm(node: &Rc<Node>, mine: &Owner, end: u64) -> Result<(), String> {
+/// Reads the log back to confirm that this claim came first. Returns when the read was sent.
+async fn confirm(node: &Rc<Node>, mine: &Owner, end: u64) -> Result<Millis, String> {
     let started = now().mono;
     loop {
+        let sent_at = now().mono;
         match (node.platform.store.read)((Topic::Cell, end, 0)).await {
             Ok(batch) => {
-                let first = batch.items.iter().find_map(owner);
-                return match first {
-                    Some(first) if first == *mine => Ok(()),
+                let mut owners = batch.items.iter().filter_map(owner);
+                return match owners.next() {
+                    Some(first) if first == *mine && owners.next().is_none() => Ok(sent_at),
                     _ => Err("another claim came first in the log".to_owned()),
                 };
             }
@@ -123,7 +124,14 @@
 }
 
 /// Starts to lead from the records in the store.
-fn start_leading(node: &Rc<Node>, epoch: u64, seq: u64, table: &Table, worker_table: Table) {
+fn start_leading(
+    node: &Rc<Node>,
+    epoch: u64,
+    seq: u64,
+    claimed_at: Millis,
+    table: &Table,
+    worker_table: Table,
+) {
     let time = now();
     let configured = node.settings.limits;
     let bounds = Bounds {
@@ -146,6 +154,7 @@
         shared.unavailable_since = 0;
         shared.append_started = 0;
         shared.election.become_leader(epoch, time.mono);
+        shared.election.on_store_confirmed(claimed_at);
     }
     event!("leading", epoch = epoch, vm = node.me.name);
     metrics::counter!("claims").increment(1);
