Leases count as expired only by an answer of the store from after their end

A leader started the tasks of an unreachable worker elsewhere once the leases that it had granted had expired. While it had not heard of its successor yet, for at most 2 s, the successor could renew them: two runs.

Change: the end of the leases has to lie before the sending of a request that the store has answered. Words of members don't count here, since they don't tell of a VM that is no member (spec/lease.pml, NO_LATER and NO_STORE).

The new test failed before: "another leader may have renewed the leases since".

--- a/crates/elect/src/elect.rs
+++ b/crates/elect/src/elect.rs
@@ -369,6 +369,12 @@
         now < self.decides_until()
     }
 
+    /// Returns the newest time at which no other VM at all had claimed this leader's place; 0 if
+    /// that is not known. Only the store tells that of VMs that are not members.
+    pub fn unclaimed_at(&self) -> Millis {
+        if self.leading { self.lease.store_at } else { 0 }
+    }
+
     /// Returns the leader, `None` while none is known.
     pub fn leader(&self) -> Option<&Leader> {
         self.leader.as_ref()
--- a/crates/elect/src/lease.rs
+++ b/crates/elect/src/lease.rs
@@ -12,7 +12,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct LeaderLease {
     /// When the newest request was sent in whose answer the store confirmed this leader.
-    store_at: Millis,
+    pub(crate) store_at: Millis,
     /// When the newest heartbeat was sent to each other VM that it answered as a follower.
     words: BTreeMap<Name, Millis>,
 }
--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -408,12 +408,13 @@
         std::mem::take(&mut self.commands)
     }
 
-    /// Runs everything that depends on time, then places the waiting tasks.
-    pub fn tick(&mut self, now: Now) {
+    /// Runs everything that depends on time, then places the waiting tasks. No other leader had
+    /// taken over at `unclaimed_at`.
+    pub fn tick(&mut self, now: Now, unclaimed_at: Millis) {
         if now.mono >= self.workers_checked + WORKER_CHECK_PERIOD {
             self.workers_checked = now.mono;
             self.run_timers(now);
-            self.check_workers(now);
+            self.check_workers(now, unclaimed_at);
             self.check_suspects(now);
             self.enforce_targets(now);
             self.handle_stragglers(now);
--- a/crates/lead/src/watch.rs
+++ b/crates/lead/src/watch.rs
@@ -12,11 +12,11 @@
 
 impl Lead {
     /// Follows up on unconfirmed commands, expired leases, and draining and vanished workers.
-    pub(crate) fn check_workers(&mut self, now: Now) {
+    pub(crate) fn check_workers(&mut self, now: Now, unclaimed_at: Millis) {
         let ids: Vec<Name> = self.workers.keys().cloned().collect();
         for id in ids {
             self.retry_stops(&id, now);
-            self.expire(&id, now);
+            self.expire(&id, now, unclaimed_at);
             self.drain(&id);
             self.forget(&id, now);
         }
@@ -38,8 +38,9 @@
         }
     }
 
-    /// Drops the runs of a worker whose leases have certainly expired.
-    fn expire(&mut self, id: &Name, now: Now) {
+    /// Drops the runs of a worker whose leases have certainly expired. Another leader that had taken
+    /// over before their end would have renewed them.
+    fn expire(&mut self, id: &Name, now: Now, unclaimed_at: Millis) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         if worker.renewed_by_relay {
             return;
@@ -49,7 +50,7 @@
         // It counts as gone only if it left a request unanswered shortly before the expiry or
         // later.
         let silent = worker.unanswered_at + SILENCE_WINDOW > end;
-        if now.mono < end || worker.runs.is_empty() || !silent {
+        if unclaimed_at < end || worker.runs.is_empty() || !silent {
             return;
         }
         event!("leases_expired", worker = id, runs = worker.runs.len(), listed = worker.listed);
--- a/crates/lead/tests/decisions.rs
+++ b/crates/lead/tests/decisions.rs
@@ -428,3 +428,32 @@
         assert_eq!(&*starts[0].1.task.job, "z", "{}", case.name);
     }
 }
+
+/// Guards against two runs of a task: a leader started the tasks of a worker elsewhere when the
+/// leases that it had granted had expired, while its successor, of which it had not heard yet,
+/// renewed them.
+#[test]
+fn runs_are_given_up_only_by_evidence_from_after_the_end_of_their_leases() {
+    let mut fleet = Fleet::open(2);
+    fleet.accept("a", spec(step(1, 1_000)));
+    let sent = fleet.starts().remove(0);
+    fleet.reply_start(&sent, Ok(1));
+    let other = if &*sent.0 == "w0" { "w1" } else { "w0" };
+    let lost_at = fleet.now();
+    fleet.unclaimed_at = Some(lost_at + 5_000);
+    let silent = |fleet: &mut Fleet, period: u64| {
+        let end = fleet.now() + period;
+        while fleet.now() < end {
+            fleet.advance(100);
+            fleet.list(other, &[], &[]);
+            fleet.fail_poll(&sent.0);
+            if !fleet.starts().is_empty() {
+                return true;
+            }
+        }
+        false
+    };
+    assert!(!silent(&mut fleet, 7_000), "another leader may have renewed the leases since");
+    fleet.unclaimed_at = Some(lost_at + 7_000);
+    assert!(silent(&mut fleet, 200), "no other leader had taken over when the leases expired");
+}
--- a/crates/lead/tests/fleet/mod.rs
+++ b/crates/lead/tests/fleet/mod.rs
@@ -25,6 +25,8 @@
     now: Millis,
     last_completion: u64,
     running: Vec<Sent>,
+    /// Newest time at which no other leader had taken over, where it is not the present.
+    pub(crate) unclaimed_at: Option<Millis>,
     /// Workers whose polls time out.
     down: BTreeSet<Name>,
     /// Records in the store.
@@ -51,8 +53,15 @@
     pub(crate) fn open(workers: usize) -> Fleet {
         let lead = Lead::open(1, &[], Bounds::default(), NOW);
         let (running, down, stored) = (Vec::new(), BTreeSet::new(), BTreeMap::new());
-        let mut fleet =
-            Fleet { lead, now: NOW.mono, last_completion: 1_000, running, down, stored };
+        let mut fleet = Fleet {
+            lead,
+            now: NOW.mono,
+            last_completion: 1_000,
+            running,
+            unclaimed_at: None,
+            down,
+            stored,
+        };
         for n in 0..workers {
             fleet.lead.on_worker_info(worker_info(n), NOW);
             fleet.list(&format!("w{n}"), &[], &[]);
@@ -144,7 +153,7 @@
 
     pub(crate) fn commands(&mut self) -> Vec<Command> {
         self.now += 40;
-        self.lead.tick(self.time());
+        self.lead.tick(self.time(), self.unclaimed_at.unwrap_or(self.now));
         self.lead.take_commands()
     }
 
--- a/crates/lead/tests/world/mod.rs
+++ b/crates/lead/tests/world/mod.rs
@@ -232,7 +232,7 @@
         self.check_failed();
         let time = self.time();
         let commands = self.lead.as_mut().map(|lead| {
-            lead.tick(time);
+            lead.tick(time, time.mono);
             lead.take_commands()
         });
         for command in commands.unwrap_or_default() {
--- a/crates/node/src/decide.rs
+++ b/crates/node/src/decide.rs
@@ -36,9 +36,10 @@
     let (epoch, commands, deposed) = {
         let mut shared = node.shared.borrow_mut();
         let may = shared.may_decide(time.mono);
+        let unclaimed_at = shared.election.unclaimed_at();
         let Some(lead) = &mut shared.lead else { return };
         if may {
-            lead.tick(time);
+            lead.tick(time, unclaimed_at);
         }
         let (epoch, commands) = (lead.epoch, lead.take_commands());
         let deposed = lead.deposed.clone();
