A leader asks the store whether another VM has claimed

Cause: only another VM's heartbeat or an append confirmed a leader. Appends come from decisions and from callers; without followers and callers the leader stopped deciding after 2 s, so that it appended nothing, so that it didn't decide. The exception for a lone VM asked whether it had never known another; lost VMs stay known.

Change: where the newest answer of the store is 0.3 s old, the leader reads its log from the end that it knows; an answer up to the log's end without a higher owner counts as an append does. An append returns the log's end. A leader that the store hasn't answered for 1.5 s hands over, which an idle one didn't notice before. The exception for a lone VM is gone.

Ruled out: that the lone VM loses its leadership (its epoch stayed the newest in the record).

--- a/crates/elect/src/elect.rs
+++ b/crates/elect/src/elect.rs
@@ -231,7 +231,7 @@
         self.leader = Some(Leader { epoch, vm: self.me.clone() });
         self.leading_since = now;
         self.append_hold_at = 0;
-        self.lease = LeaderLease::default();
+        self.lease = LeaderLease::open(now);
         self.leading = true;
         self.contact_at = now;
         self.takeover_requested = false;
@@ -354,9 +354,21 @@
         self.lease.on_store(sent_at);
     }
 
+    /// Returns whether this leader has to ask the store now whether another VM has claimed, and if
+    /// so records the time. Nothing else confirms a leader that nobody follows and that has
+    /// nothing to append.
+    pub fn store_query_due(&mut self, now: Millis) -> bool {
+        self.leading && self.lease.store_query_due(now)
+    }
+
+    /// Returns whether the store has not answered this leader for so long that it should hand over.
+    pub fn has_lost_store(&self, now: Millis) -> bool {
+        self.leading && self.lease.is_store_silent(now)
+    }
+
     /// Records that this process was suspended: what it knew may have changed meanwhile.
-    pub fn on_suspension(&mut self) {
-        self.lease.revoke();
+    pub fn on_suspension(&mut self, now: Millis) {
+        self.lease = LeaderLease::open(now);
     }
 
     /// Returns until when this VM may decide; 0 if it may not.
@@ -418,11 +430,6 @@
         now.saturating_sub(direct.max(indirect))
     }
 
-    /// Returns whether no other VM is known.
-    pub fn is_alone(&self) -> bool {
-        self.known.is_empty()
-    }
-
     /// Drops the heartbeats of VMs that have been silent for too long.
     pub fn expire_peers(&mut self, now: Millis) {
         self.peers.retain(|_, peer| now < peer.received_at + PEER_RETENTION);
--- a/crates/elect/tests/lease.rs
+++ b/crates/elect/tests/lease.rs
@@ -28,6 +28,8 @@
     vms: Vec<Election>,
     /// Whether a heartbeat passes from one VM to another.
     passes: Box<dyn Fn(usize, usize) -> bool>,
+    /// Whether the store answers the leader.
+    store_answers: bool,
     /// Heartbeats on their way, with the time of arrival, sender and receiver.
     in_flight: Vec<(Millis, usize, usize, Heartbeat)>,
 }
@@ -42,22 +44,28 @@
             election
         };
         let vms = (0..size).map(open).collect();
+        let passes = Box::new(|_, _| true);
         let mut cluster =
-            Cluster { now: START, vms, passes: Box::new(|_, _| true), in_flight: Vec::new() };
+            Cluster { now: START, vms, passes, store_answers: true, in_flight: Vec::new() };
         cluster.vms[0].become_leader(5, START);
         cluster.vms[0].on_store_confirmed(START);
         cluster.run(3_000);
         cluster
     }
 
+    /// Lets nothing pass but some heartbeats.
     fn cut(&mut self, passes: impl Fn(usize, usize) -> bool + 'static) {
         self.passes = Box::new(passes);
+        self.store_answers = false;
     }
 
     fn run(&mut self, period: Millis) {
         let end = self.now + period;
         while self.now < end {
             self.now += TICK;
+            if self.vms[0].store_query_due(self.now) && self.store_answers {
+                self.vms[0].on_store_confirmed(self.now);
+            }
             for index in 0..self.vms.len() {
                 let (heartbeat, targets) = self.vms[index].due_heartbeats(self.now);
                 for (vm, interval) in targets {
@@ -165,3 +173,22 @@
         assert!(!cluster.vms[0].may_decide(end), "{}", case.name);
     }
 }
+
+/// Guards against a leader that stops deciding for good, and with it all work that lasts: all other
+/// VMs were lost, nobody submitted jobs, and without decisions nothing was appended.
+#[test]
+fn a_leader_that_nobody_follows_decides_while_the_store_answers() {
+    for size in [1, 3] {
+        let mut cluster = Cluster::open(size);
+        cluster.cut(|_, _| false);
+        cluster.store_answers = true;
+        for _ in 0..100 {
+            cluster.run(300);
+            assert!(cluster.leader_decides(), "{size} VMs, {} ms", cluster.now - START);
+        }
+        assert!(!cluster.vms[0].has_lost_store(cluster.now), "{size} VMs");
+        cluster.store_answers = false;
+        cluster.run(EVIDENCE_TTL);
+        assert!(cluster.vms[0].has_lost_store(cluster.now), "{size} VMs, without the store");
+    }
+}
--- a/crates/node/src/append.rs
+++ b/crates/node/src/append.rs
@@ -53,7 +53,7 @@
     };
     while node.shared.borrow_mut().lead_in(epoch).is_some() {
         match (node.platform.store.append)(request.clone()).await {
-            Ok(()) => return on_success(node, epoch, &batch),
+            Ok(end) => return on_success(node, epoch, &batch, end),
             Err(AppendError::Fenced) => return node.depose("fenced by a higher epoch"),
             Err(AppendError::OffsetMismatch) => return node.depose("another writer has appended"),
             Err(AppendError::Sequence(expected)) => {
@@ -77,8 +77,9 @@
     metrics::counter!("append_failures").increment(1);
 }
 
-/// Applies a durable batch and wakes the requests that wait for it.
-fn on_success(node: &Rc<Node>, epoch: u64, batch: &Batch) {
+/// Applies a durable batch, with which the log ends at `end`, and wakes the requests that wait for
+/// it.
+fn on_success(node: &Rc<Node>, epoch: u64, batch: &Batch, end: u64) {
     let time = now();
     let mut shared = node.shared.borrow_mut();
     if shared.unavailable_since > 0 {
@@ -89,6 +90,7 @@
     // A repeated append may have been carried out at the first attempt.
     let sent_at = std::mem::take(&mut shared.append_started);
     shared.unavailable_since = 0;
+    shared.log_end = end;
     shared.election.on_store_confirmed(sent_at);
     let Some(lead) = shared.lead_in(epoch) else { return };
     lead.on_stored(batch, time);
--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -66,15 +66,16 @@
     let epoch = previous.as_ref().map_or(0, |owner| owner.epoch).max(known) + 1;
     let seq = rand::random::<u64>() % MAX_FIRST_SEQ;
     let mine = Owner { epoch, vm: node.me.clone() };
-    append(node, &mine, seq, table.end).await?;
+    let log_end = append(node, &mine, seq, table.end).await?;
     let claimed_at = confirm(node, &mine, table.end).await?;
     let worker_table = (store.newest)(Topic::Workers).await.map_err(|e| e.to_string())?;
-    start_leading(node, epoch, seq, claimed_at, &table, worker_table);
+    start_leading(node, Claimed { epoch, seq, log_end, at: claimed_at }, &table, worker_table);
     Ok(())
 }
 
-/// Appends the claim at offset `end`; retries while the outcome is in doubt.
-async fn append(node: &Rc<Node>, mine: &Owner, seq: u64, end: u64) -> Result<(), String> {
+/// Appends the claim at offset `end`; retries while the outcome is in doubt. Returns the offset
+/// at which the log ends then.
+async fn append(node: &Rc<Node>, mine: &Owner, seq: u64, end: u64) -> Result<u64, String> {
     let value = postcard::to_stdvec(mine).map_err(|e| e.to_string())?;
     let request = Append {
         topic: Topic::Cell,
@@ -85,7 +86,7 @@
     let started = now().mono;
     loop {
         match (node.platform.store.append)(request.clone()).await {
-            Ok(()) => return Ok(()),
+            Ok(end) => return Ok(end),
             Err(AppendError::InDoubt(_) | AppendError::Refused(_))
                 if now().mono < started + CLAIM_TIMEOUT =>
             {
@@ -123,16 +124,51 @@
     postcard::from_bytes(&item.value).ok()
 }
 
-/// Starts to lead from the records in the store.
-fn start_leading(
-    node: &Rc<Node>,
+/// Asks the store whether another VM has claimed, if that is due.
+pub(crate) fn query_if_due(node: &Rc<Node>) {
+    let sent_at = now().mono;
+    let (epoch, log_end) = {
+        let mut shared = node.shared.borrow_mut();
+        let Some(epoch) = shared.lead.as_ref().map(|lead| lead.epoch) else { return };
+        if !shared.election.store_query_due(sent_at) {
+            return;
+        }
+        (epoch, shared.log_end)
+    };
+    let node = Rc::clone(node);
+    spawn_local(async move {
+        let result = (node.platform.store.read)((Topic::Cell, log_end, 0)).await;
+        if node.shared.borrow_mut().lead_in(epoch).is_none() {
+            return;
+        }
+        let Ok(batch) = result else {
+            metrics::counter!("store_query_failures").increment(1);
+            return;
+        };
+        let successor = batch.items.iter().filter_map(owner).find(|owner| owner.epoch > epoch);
+        if let Some(owner) = successor {
+            node.depose(&format!("{} has claimed epoch {}", owner.vm.name, owner.epoch));
+        } else if batch.next >= batch.end {
+            node.shared.borrow_mut().election.on_store_confirmed(sent_at);
+        }
+    });
+}
+
+/// A claim that came first.
+#[derive(Debug)]
+struct Claimed {
     epoch: u64,
+    /// Sequence number of its append.
     seq: u64,
-    claimed_at: Millis,
-    table: &Table,
-    worker_table: Table,
-) {
-    let time = now();
+    /// Offset at which the log ended with it.
+    log_end: u64,
+    /// When the read that confirmed it was sent.
+    at: Millis,
+}
+
+/// Starts to lead from the records in the store.
+fn start_leading(node: &Rc<Node>, claimed: Claimed, table: &Table, worker_table: Table) {
+    let (epoch, time) = (claimed.epoch, now());
     let configured = node.settings.limits;
     let bounds = Bounds {
         lease: MAX_LEASE.min(configured.max_lease),
@@ -150,11 +186,12 @@
         shared.polled.clear();
         shared.relays_checked = 0;
         shared.relay.on_epoch(epoch);
-        shared.next_seq = seq + 1;
+        shared.next_seq = claimed.seq + 1;
+        shared.log_end = claimed.log_end;
         shared.unavailable_since = 0;
         shared.append_started = 0;
         shared.election.become_leader(epoch, time.mono);
-        shared.election.on_store_confirmed(claimed_at);
+        shared.election.on_store_confirmed(claimed.at);
     }
     event!("leading", epoch = epoch, vm = node.me.name);
     metrics::counter!("claims").increment(1);
--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -105,7 +105,7 @@
 async fn tick(node: &Rc<Node>, ticker: &mut Ticker, now: Now) {
     if ticker.ticked_at > 0 && now.mono > ticker.ticked_at + MAX_TICK_GAP {
         event!("stopped_gap", ms = now.mono - ticker.ticked_at);
-        node.shared.borrow_mut().election.on_suspension();
+        node.shared.borrow_mut().election.on_suspension(now.mono);
     }
     let late = now.mono.saturating_sub(ticker.ticked_at + TICK_INTERVAL.as_millis() as Millis);
     if ticker.ticked_at > 0 {
@@ -117,21 +117,12 @@
         event!("lagging", ms = ticker.lag as Millis, leads = node.shared.borrow().lead.is_some());
     }
     ticker.ticked_at = now.mono;
-    let alone = {
-        let mut shared = node.shared.borrow_mut();
-        let alone = shared.lead.is_some() && shared.election.is_alone();
-        shared.election.expire_peers(now.mono);
-        if alone {
-            shared.election.on_store_confirmed(now.mono);
-        }
-        alone
-    };
-    if !alone {
-        request_takeover(node, ticker, now).await;
-    }
+    node.shared.borrow_mut().election.expire_peers(now.mono);
+    request_takeover(node, ticker, now).await;
     send_heartbeats(node, now).await;
     manifest::fetch(node);
     claim::claim_if_due(node);
+    claim::query_if_due(node);
 }
 
 /// Requests that another VM take over if this leader has lost the store, is shutting
@@ -141,8 +132,10 @@
         let shared = node.shared.borrow();
         let store_lost =
             shared.unavailable_since > 0 && now.mono > shared.unavailable_since + MAX_STORE_OUTAGE;
-        let unfit =
-            store_lost || shared.election.leaving || shared.election.should_hand_over(now.mono);
+        let unfit = store_lost
+            || shared.election.has_lost_store(now.mono)
+            || shared.election.leaving
+            || shared.election.should_hand_over(now.mono);
         let wanted = shared.lead.is_some() && unfit;
         if !wanted || now.mono < ticker.takeover_at + TAKEOVER_INTERVAL {
             return;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -81,6 +81,8 @@
     pub(crate) relay: Relay,
     /// Sequence number of the next append.
     pub(crate) next_seq: u64,
+    /// Offset at which the leader's log ended after its last append.
+    pub(crate) log_end: u64,
     pub(crate) manifest: Option<Rc<Manifest>>,
     /// Requests that wait for a batch to become durable, with the number of the batch.
     pub(crate) waiters: Vec<(u64, oneshot::Sender<Stored>)>,
@@ -130,6 +132,7 @@
             relays_checked: 0,
             relay: Relay::default(),
             next_seq: 0,
+            log_end: 0,
             manifest: None,
             waiters: Vec::new(),
             append_started: 0,
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -40,7 +40,7 @@
     let request =
         Append { topic: Topic::Vms, records: vec![record], writer: None, expected_end: None };
     match (node.platform.store.append)(request).await {
-        Ok(()) => true,
+        Ok(_) => true,
         Err(e) => {
             log::debug!("event=register_failed reason={:?}", e.to_string());
             false
--- a/crates/port/src/store.rs
+++ b/crates/port/src/store.rs
@@ -43,6 +43,9 @@
     pub items: Vec<Item>,
     /// Offset of the next read.
     pub next: u64,
+    /// Offset at which the log ended. The records up to it are not all contained if it is above
+    /// `next`.
+    pub end: u64,
 }
 
 /// A record to append: a key and its new value.
@@ -120,8 +123,8 @@
     /// Reads a log from an offset on; where it has no record there, waits for one up to the
     /// given time.
     pub read: Call<(Topic, u64, Millis), Result<Batch, StoreError>>,
-    /// Appends records to a log.
-    pub append: Call<Append, Result<(), AppendError>>,
+    /// Appends records to a log; returns the offset at which it ends then.
+    pub append: Call<Append, Result<u64, AppendError>>,
 }
 
 impl fmt::Debug for Store {
