A leader needs the words of the members of its record, for a limited time

- A VM that was lost for good stays known.
Its word is missing for ever, so that work stopped 2 s after the store was away for all, and leases lapsed where that lasts longer.
- A VM that the leader has never heard of (new, or on the other side of a cut) gives no word and can claim; the leader went on by the words of the others for as long as the store was away.

Change: the members are a record in the leader's log, which a claimant reads under the condition of its append. VMs that have been silent for 5 s are taken out, once the leader has settled; while it is in doubt which record the store has, words of both are needed. Words are enough for 12 s after the store's newest answer, and a claimant that is no member waits for 12 s plus the lease before it starts what it inherited. Where the store is silent the leader asks all for their words, since most of many VMs report rarely.

With no member ever stored, the new test fails: "lost long before: 1800 ms" in place of 12 s. Without the queries: "the words of many members: 5000 ms". The simulated store of fanout.rs now answers the leader, as the real one does; without it, the test took a store that is away all the time for its quiet cluster.

--- a/crates/elect/src/elect.rs
+++ b/crates/elect/src/elect.rs
@@ -8,7 +8,7 @@
 use crate::{
     Heartbeat, Purpose, Vm,
     fanout::{CORE_INTERVAL, Schedule},
-    lease::LeaderLease,
+    lease::{LeaderLease, MEMBER_SILENCE},
     overload::Overload,
 };
 
@@ -101,7 +101,7 @@
     /// When this VM became the leader.
     leading_since: Millis,
     /// Whether this VM may decide as the leader.
-    lease: LeaderLease,
+    pub(crate) lease: LeaderLease,
     pub(crate) schedule: Schedule,
     /// Whether this VM is the leader.
     pub leading: bool,
@@ -221,17 +221,42 @@
     fn update_lease(&mut self, heartbeat: &Heartbeat) {
         let follows = heartbeat.epoch == self.epoch && heartbeat.leader.as_ref() == Some(&self.me);
         if self.leading && follows {
-            self.lease.on_word(&heartbeat.from.name, heartbeat.echo);
+            self.lease.on_word(&heartbeat.from.name, heartbeat.echo, &self.me.name);
         }
     }
 
+    /// Records the members that the store had when this leader claimed; `None` if it had no such
+    /// record.
+    pub fn set_members(&mut self, members: Option<BTreeSet<Name>>, now: Millis) {
+        self.lease = LeaderLease::open(members, now);
+    }
+
+    /// Returns the members to store: the VMs that have recently been heard from, if they are not
+    /// those that the store has.
+    pub fn members_due(&self, now: Millis) -> Option<BTreeSet<Name>> {
+        let heard = self.peers.iter().filter(|(_, peer)| now < peer.received_at + MEMBER_SILENCE);
+        let mut members: BTreeSet<Name> = heard.map(|(name, _)| name.clone()).collect();
+        members.insert(self.me.name.clone());
+        (self.leading && self.lease.members() != Some(&members)).then_some(members)
+    }
+
+    /// Records that a record of the members may reach the store from now on.
+    pub fn on_members_sent(&mut self, members: BTreeSet<Name>) {
+        self.lease.propose(members, &self.me.name);
+    }
+
+    /// Records that the store has the members that were sent last.
+    pub fn on_members_stored(&mut self) {
+        self.lease.on_stored(&self.me.name);
+    }
+
     /// Records that this VM has become the leader in an epoch.
     pub fn become_leader(&mut self, epoch: u64, now: Millis) {
         self.epoch = epoch;
         self.leader = Some(Leader { epoch, vm: self.me.clone() });
         self.leading_since = now;
         self.append_hold_at = 0;
-        self.lease = LeaderLease::open(now);
+        self.lease = LeaderLease::open(None, now);
         self.leading = true;
         self.contact_at = now;
         self.takeover_requested = false;
@@ -368,12 +393,12 @@
 
     /// Records that this process was suspended: what it knew may have changed meanwhile.
     pub fn on_suspension(&mut self, now: Millis) {
-        self.lease = LeaderLease::open(now);
+        self.lease.revoke(now);
     }
 
     /// Returns until when this VM may decide; 0 if it may not.
     pub fn decides_until(&self) -> Millis {
-        if self.leading { self.lease.expires_at(self.known.keys()) } else { 0 }
+        if self.leading { self.lease.expires_at() } else { 0 }
     }
 
     /// Returns whether this VM is the leader and may decide.
--- a/crates/elect/src/fanout.rs
+++ b/crates/elect/src/fanout.rs
@@ -42,10 +42,11 @@
     /// Returns the heartbeat that is due now and the VMs that it goes to, none if none is due.
     /// Each VM is told the interval at which it gets heartbeats.
     pub fn due_heartbeats(&mut self, now: Millis) -> (Heartbeat, Vec<(Vm, Millis)>) {
-        let query = self.should_query(now);
+        let query = self.should_query(now) || (self.leading && self.lease.word_query_due(now));
         let purpose = if query { Purpose::Query } else { Purpose::Report };
         let targets = match (self.leading, query) {
-            (true, _) => self.due_as_leader(now),
+            (true, true) => self.all_targets(),
+            (true, false) => self.due_as_leader(now),
             (false, true) => without_interval(self.query_targets(now)),
             (false, false) => self.due_as_follower(now),
         };
--- a/crates/elect/src/lib.rs
+++ b/crates/elect/src/lib.rs
@@ -11,5 +11,5 @@
 pub use crate::{
     elect::{Election, Leader},
     heartbeat::{Heartbeat, Purpose, Vm},
-    lease::EVIDENCE_TTL,
+    lease::{EVIDENCE_TTL, WORDS_TTL},
 };
--- a/crates/elect/tests/fanout.rs
+++ b/crates/elect/tests/fanout.rs
@@ -113,6 +113,10 @@
             let successor = member.election.successor(now).into_iter().map(|vm| (vm, 0)).collect();
             (member.election.heartbeat(Purpose::TakeOver, now), successor)
         });
+        // The store answers all VMs at all times.
+        if member.election.store_query_due(now) {
+            member.election.on_store_confirmed(now);
+        }
         let (heartbeat, targets) = member.election.due_heartbeats(now);
         let started = member.claim.is_none() && member.election.should_claim(now);
         if started {
--- a/crates/elect/tests/lease.rs
+++ b/crates/elect/tests/lease.rs
@@ -1,9 +1,9 @@
 //! For how long a leader may decide, in simulated time.
 
-use std::net::SocketAddr;
+use std::{cell::Cell, net::SocketAddr};
 
 use base::Millis;
-use elect::{EVIDENCE_TTL, Election, Heartbeat, Purpose, Vm};
+use elect::{EVIDENCE_TTL, Election, Heartbeat, Purpose, Vm, WORDS_TTL};
 
 /// Step of the simulated time: the interval of the ticker.
 const TICK: Millis = 50;
@@ -66,6 +66,11 @@
             if self.vms[0].store_query_due(self.now) && self.store_answers {
                 self.vms[0].on_store_confirmed(self.now);
             }
+            if let Some(members) = self.vms[0].members_due(self.now).filter(|_| self.store_answers)
+            {
+                self.vms[0].on_members_sent(members);
+                self.vms[0].on_members_stored();
+            }
             for index in 0..self.vms.len() {
                 let (heartbeat, targets) = self.vms[index].due_heartbeats(self.now);
                 for (vm, interval) in targets {
@@ -192,3 +197,65 @@
         assert!(cluster.vms[0].has_lost_store(cluster.now), "{size} VMs, without the store");
     }
 }
+
+/// Guards against lasting tasks that lapse while the store is away for all, because a VM that was
+/// lost before gives no word; and against decisions beside a leader that is none of the members.
+#[test]
+fn a_leader_decides_by_the_words_of_the_members_for_a_limited_time() {
+    struct Case {
+        name: &'static str,
+        /// VMs, one of which is lost.
+        size: usize,
+        /// Time from its loss until the store is away.
+        lost_before: Millis,
+        /// Time from then on for which the leader decides.
+        decides_for: Millis,
+    }
+    let cases = [
+        Case { name: "lost long before", size: 3, lost_before: 8_000, decides_for: WORDS_TTL },
+        Case { name: "lost just then", size: 3, lost_before: 0, decides_for: EVIDENCE_TTL },
+        Case { name: "nobody else", size: 2, lost_before: 8_000, decides_for: WORDS_TTL },
+    ];
+    for case in cases {
+        let mut cluster = Cluster::open(case.size);
+        let lost = case.size - 1;
+        cluster.cut(move |from, to| from != lost && to != lost);
+        cluster.store_answers = true;
+        cluster.run(case.lost_before);
+        cluster.store_answers = false;
+        let away_at = cluster.now;
+        while cluster.leader_decides() {
+            cluster.run(TICK);
+        }
+        let decided_for = cluster.now - away_at;
+        let expected = case.decides_for - 400..=case.decides_for + TICK;
+        assert!(expected.contains(&decided_for), "{}: {decided_for} ms", case.name);
+    }
+}
+
+/// Guards against a record of the members of which it is not known whether the store has it: a
+/// claimant reads either one.
+#[test]
+fn the_word_of_each_member_that_the_store_may_have_is_needed() {
+    let mut cluster = Cluster::open(3);
+    cluster.cut(|from, to| from != 2 && to != 2);
+    let leader = &mut cluster.vms[0];
+    leader.on_members_sent(["vm-0".into(), "vm-1".into()].into());
+    cluster.run(EVIDENCE_TTL + 2 * TICK);
+    assert!(!cluster.leader_decides(), "the store may have the earlier record");
+    cluster.vms[0].on_members_stored();
+    assert!(cluster.leader_decides(), "the store has the new record");
+}
+
+/// Guards against work that stops while the store is away for all of many VMs, most of which report
+/// to the leader rarely, and heartbeats are lost.
+#[test]
+fn the_words_of_many_members_are_heard_in_time() {
+    let mut cluster = Cluster::open(40);
+    let sent = Cell::new(0);
+    cluster.cut(move |_, _| sent.replace(sent.get() + 1) % 7 != 0);
+    for _ in 0..100 {
+        cluster.run(100);
+        assert!(cluster.leader_decides(), "{} ms", cluster.now - START);
+    }
+}
--- a/crates/lead/src/journal.rs
+++ b/crates/lead/src/journal.rs
@@ -16,6 +16,8 @@
 const MODEL: &str = "learned";
 /// Key of the record that names the leader of the cell and its epoch.
 pub const OWNER: &str = "owner";
+/// Key of the record of the entry VMs whose word a leader needs where the store does not answer.
+pub const MEMBERS: &str = "members";
 
 /// Records that are appended together, and the changes that take effect once they are
 /// durable.
@@ -25,6 +27,8 @@
     pub number: u64,
     /// Records to append.
     pub records: Vec<Record>,
+    /// Members of the cell, if the batch contains their record.
+    pub members: Option<BTreeSet<Name>>,
     /// Jobs that the batch makes durable.
     jobs: Vec<Name>,
     /// Jobs whose end the batch makes durable.
@@ -47,6 +51,8 @@
     deletions: Vec<Name>,
     /// Whether the interference model is to be recorded.
     save_model: bool,
+    /// Members of the cell to record.
+    members: Option<BTreeSet<Name>>,
 }
 
 impl Journal {
@@ -127,6 +133,11 @@
 }
 
 impl Lead {
+    /// Adds the record of the members of the cell to the next batch.
+    pub fn save_members(&mut self, members: BTreeSet<Name>) {
+        self.journal.members = Some(members);
+    }
+
     /// Takes the next batch to append; `None` if nothing has changed.
     pub fn take_batch(&mut self) -> Option<Batch> {
         let journal = &mut self.journal;
@@ -153,6 +164,10 @@
         if std::mem::take(&mut journal.save_model) {
             batch.records.push(record("", &MODEL.into(), &self.model));
         }
+        if let Some(members) = journal.members.take() {
+            batch.records.push(record("", &MEMBERS.into(), &members));
+            batch.members = Some(members);
+        }
         if batch.records.is_empty() {
             return None;
         }
--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -387,7 +387,7 @@
 
     /// Returns whether the runs of earlier leaders are known: every worker has listed its
     /// runs, or the leases that those leaders granted have certainly expired.
-    pub(crate) fn settled(&mut self, now: Now) -> bool {
+    pub fn settled(&mut self, now: Now) -> bool {
         if !self.settled {
             let all = self.workers.values().all(|worker| worker.synced);
             self.settled = (all && !self.workers.is_empty()) || now.mono >= self.settle_deadline;
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -27,7 +27,7 @@
 mod worker;
 
 pub use crate::{
-    journal::{Batch, OWNER},
+    journal::{Batch, MEMBERS, OWNER},
     lead::{Bounds, Command, Lead, Submitted},
     load::reset_load_metrics,
     run::{Run, RunState},
--- a/crates/node/src/append.rs
+++ b/crates/node/src/append.rs
@@ -37,6 +37,9 @@
     }
     let lead = shared.lead.as_mut()?;
     let (epoch, batch) = (lead.epoch, lead.take_batch()?);
+    if let Some(members) = &batch.members {
+        shared.election.on_members_sent(members.clone());
+    }
     let seq = shared.next_seq;
     shared.next_seq += 1;
     shared.append_started = now().mono;
@@ -91,6 +94,9 @@
     let sent_at = std::mem::take(&mut shared.append_started);
     shared.unavailable_since = 0;
     shared.log_end = end;
+    if batch.members.is_some() {
+        shared.election.on_members_stored();
+    }
     shared.election.on_store_confirmed(sent_at);
     let Some(lead) = shared.lead_in(epoch) else { return };
     lead.on_stored(batch, time);
--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -1,9 +1,9 @@
-use std::{rc::Rc, time::Duration};
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
 use async_std::task::{sleep, spawn_local};
-use base::{Millis, event, now};
-use elect::{EVIDENCE_TTL, Vm};
-use lead::{Bounds, Lead, OWNER};
+use base::{Millis, Name, event, now};
+use elect::{EVIDENCE_TTL, Vm, WORDS_TTL};
+use lead::{Bounds, Lead, MEMBERS, OWNER};
 use port::{Append, AppendError, Item, Record, Table, Topic};
 use relay::Dispatcher;
 use serde::{Deserialize, Serialize};
@@ -170,10 +170,16 @@
 fn start_leading(node: &Rc<Node>, claimed: Claimed, table: &Table, worker_table: Table) {
     let (epoch, time) = (claimed.epoch, now());
     let configured = node.settings.limits;
+    let record = table.items.iter().find(|item| &*item.key == MEMBERS);
+    let members: Option<BTreeSet<Name>> =
+        record.and_then(|item| postcard::from_bytes(&item.value).ok());
+    // An earlier leader may have decided without the word of a VM that is not a member.
+    let is_member =
+        record.is_none() || members.as_ref().is_some_and(|members| members.contains(&node.me.name));
     let bounds = Bounds {
         lease: MAX_LEASE.min(configured.max_lease),
         max_lease: configured.max_lease,
-        isolation_limit: EVIDENCE_TTL,
+        isolation_limit: if is_member { EVIDENCE_TTL } else { WORDS_TTL },
         remote_factor: configured.remote_factor,
         restore_time: configured.restore_time,
         max_impact: configured.max_interference,
@@ -191,6 +197,7 @@
         shared.unavailable_since = 0;
         shared.append_started = 0;
         shared.election.become_leader(epoch, time.mono);
+        shared.election.set_members(members, time.mono);
         shared.election.on_store_confirmed(claimed.at);
     }
     event!("leading", epoch = epoch, vm = node.me.name);
--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -7,13 +7,15 @@
 use crate::{
     claim, manifest,
     send::{send, send_all},
-    state::Node,
+    state::{Node, Shared},
 };
 
 /// Interval of the ticker.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// Store outage after which a leader hands over to a VM that can reach the store.
 const MAX_STORE_OUTAGE: Millis = 400;
+/// Interval between two checks of the members of the cell.
+const MEMBERS_INTERVAL: Millis = 1_000;
 /// Interval between two takeover requests.
 const TAKEOVER_INTERVAL: Millis = 200;
 /// Gap between two ticks beyond which the process counts as having been suspended.
@@ -81,6 +83,8 @@
 struct Ticker {
     /// Last takeover request.
     takeover_at: Millis,
+    /// Last check of the members of the cell.
+    members_at: Millis,
     /// Previous tick.
     ticked_at: Millis,
     /// Smoothed lateness of ticks, in milliseconds.
@@ -118,6 +122,10 @@
     }
     ticker.ticked_at = now.mono;
     node.shared.borrow_mut().election.expire_peers(now.mono);
+    if now.mono >= ticker.members_at + MEMBERS_INTERVAL {
+        ticker.members_at = now.mono;
+        save_members(node, now);
+    }
     request_takeover(node, ticker, now).await;
     send_heartbeats(node, now).await;
     manifest::fetch(node);
@@ -151,6 +159,19 @@
     }
 }
 
+/// Records the members of the cell if they have changed. A leader that has not settled keeps to
+/// those of the earlier one, which may still decide by their words.
+fn save_members(node: &Node, now: Now) {
+    let mut shared = node.shared.borrow_mut();
+    let Shared { lead: Some(lead), election, .. } = &mut *shared else { return };
+    let Some(members) = election.members_due(now.mono).filter(|_| lead.settled(now)) else {
+        return;
+    };
+    event!("members", epoch = lead.epoch, vms = members.len());
+    lead.save_members(members);
+    node.append_wakeup.notify();
+}
+
 /// Sends the heartbeats that are due.
 async fn send_heartbeats(node: &Rc<Node>, now: Now) {
     let (heartbeat, targets) = node.shared.borrow_mut().election.due_heartbeats(now.mono);
