A leader without the store answers callers at once

GET shows the state of a durable job, which is or was true; of another id the leader doesn't know whether its successor has accepted it, so that it gets 503, not 410.

--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -189,9 +189,8 @@
 
     /// Adds a job, unless its id is known already.
     pub fn submit(&mut self, id: &Name, queue: &Queue, spec: Spec, now: Now) -> Submitted {
-        if let Some(job) = self.jobs.get(id) {
-            let batch = self.journal.batch_of(id);
-            return if job.stored { Submitted::Durable } else { Submitted::Pending(batch) };
+        if let Some(known) = self.submitted(id) {
+            return known;
         }
         let record = JobRecord { queue: queue.clone(), spec, accepted_at: now.unix };
         self.jobs.insert(id.clone(), Job::new(id.clone(), record));
@@ -224,6 +223,13 @@
         Submitted::Pending(self.journal.add_progress(id))
     }
 
+    /// Returns the result of submitting a job that is known already, `None` for any other id.
+    pub fn submitted(&self, id: &Name) -> Option<Submitted> {
+        let job = self.jobs.get(id)?;
+        let pending = || Submitted::Pending(self.journal.batch_of(id));
+        Some(if job.stored { Submitted::Durable } else { pending() })
+    }
+
     /// Returns the state of a durable job as shown to callers.
     pub fn state(&self, id: &str) -> Option<State> {
         self.jobs.get(id).filter(|job| job.stored).map(Job::state)
--- a/crates/lead/tests/decisions.rs
+++ b/crates/lead/tests/decisions.rs
@@ -457,3 +457,15 @@
     fleet.unclaimed_at = Some(lost_at + 7_000);
     assert!(silent(&mut fleet, 200), "no other leader had taken over when the leases expired");
 }
+
+/// Guards against a refusal that is not true: a job that a leader without the store refuses again may
+/// be durable, or may become so.
+#[test]
+fn what_is_known_of_a_submission_does_not_depend_on_the_store() {
+    let mut fleet = Fleet::open(1);
+    fleet.submit("a", spec(step(1, 1_000)));
+    assert!(matches!(fleet.lead.submitted(&"a".into()), Some(Submitted::Pending(_))));
+    assert_eq!(fleet.lead.submitted(&"b".into()), None);
+    fleet.store();
+    assert_eq!(fleet.lead.submitted(&"a".into()), Some(Submitted::Durable));
+}
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -127,6 +127,9 @@
     if node.shared.borrow().may_decide(time) {
         return decide(node, work).await.map_or(Attempt::Unsent, Attempt::Replied);
     }
+    if let Some(reply) = node.shared.borrow().reply_unconfirmed(work, time) {
+        return Attempt::Replied(reply);
+    }
     let next_hop = node.shared.borrow().election.next_hop(time);
     let Some(vm) = next_hop.filter(|vm| vm.name != node.me.name) else { return Attempt::Unsent };
     let link = node.link(&vm);
@@ -149,6 +152,9 @@
     if node.shared.borrow().may_decide(time) {
         return decide(node, &request.work).await;
     }
+    if let Some(reply) = node.shared.borrow().reply_unconfirmed(&request.work, time) {
+        return Some(reply);
+    }
     if !request.relay {
         return None;
     }
@@ -220,6 +226,21 @@
 }
 
 impl crate::state::Shared {
+    /// Returns the reply of a leader that the store does not answer and that may not decide: what
+    /// is durable is true whoever leads now, and nothing else can be done. `None` on other VMs.
+    fn reply_unconfirmed(&self, work: &Work, now: Millis) -> Option<Reply> {
+        let lead = self.lead.as_ref().filter(|_| self.election.has_lost_store(now))?;
+        Some(match work {
+            Work::Submit(_, id, _) => match lead.submitted(id) {
+                Some(Submitted::Durable) => Reply::Accepted,
+                Some(_) => Reply::InDoubt,
+                None => Reply::NotDone(RETRY_AFTER),
+            },
+            Work::Show(id) => lead.state(id).map_or(Reply::NotDone(RETRY_AFTER), Reply::State),
+            Work::Cancel(_) | Work::Pending(_) => Reply::NotDone(RETRY_AFTER),
+        })
+    }
+
     /// Returns the seconds after which a caller should retry, `None` unless appends
     /// fail or hang.
     fn retry_after(&self) -> Option<u32> {
