A new leader waits for the longest lease of a worker that has restarted

Cause: an order that the leader sends before it knows of a restart carries a deadline on the clock of the worker's earlier life. The new one cuts that to the longest lease, 10 s. The leader counts with this (`hold_earlier_leases`), but nothing told its successor, which waited for leases of 5 s.

Change: the record of a worker on the leader's log says whether it has restarted a short time ago; the mark goes once all such leases have ended. A new leader waits for a marked worker that doesn't list its runs until the earlier leader's decisions, an order on its way and the longest lease have ended (13.4 s; 7.2 s for others, as before), and likewise where the worker's own record in the store shows a restart that the log doesn't. Records of earlier versions have no mark.

Ruled out: a longer wait for each worker that is out of reach (a task that lasts may be down for 9 s only), and Expect-Instance (it holds the identifier, which a restart keeps).

--- a/crates/job/src/record.rs
+++ b/crates/job/src/record.rs
@@ -79,4 +79,9 @@
     /// Incarnation of the worker: the time of its start, in Unix milliseconds.
     #[serde(rename = "born")]
     pub incarnation: u64,
+    /// Whether it has restarted a short time ago, so that it may hold the longest lease, granted by
+    /// a deadline on the clock of an earlier incarnation. Records of earlier versions end before
+    /// this field.
+    #[serde(deserialize_with = "or_default")]
+    pub long_leases: bool,
 }
--- a/crates/lead/src/journal.rs
+++ b/crates/lead/src/journal.rs
@@ -154,8 +154,11 @@
         }
         for id in std::mem::take(&mut journal.workers) {
             let Some(worker) = self.workers.get(&id) else { continue };
-            let worker_record =
-                WorkerRecord { addr: worker.info.addr, incarnation: worker.info.incarnation };
+            let worker_record = WorkerRecord {
+                addr: worker.info.addr,
+                incarnation: worker.info.incarnation,
+                long_leases: worker.long_leases,
+            };
             batch.records.push(record(WORKER, &id, &worker_record));
         }
         for key in journal.deletions.drain(..) {
--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -8,8 +8,13 @@
 use port::{Item, Start, Stop, Throttle, WorkerAddr};
 
 use crate::{
-    Worker, crashes::Return, interference::InterferenceModel, journal::Journal, policy::StepPolicy,
+    Worker,
+    crashes::Return,
+    interference::InterferenceModel,
+    journal::Journal,
+    policy::StepPolicy,
     preemption::Reservation,
+    worker::{MAX_REPLY_TIME, expiry},
 };
 
 /// Low bits of a run id, which count the runs of one epoch; the epoch is above them.
@@ -134,6 +139,9 @@
     model_saved: Millis,
     /// When the leases granted by earlier leaders have certainly expired.
     settle_deadline: Millis,
+    /// The same on workers that have restarted under an earlier leader, which may have granted them
+    /// the longest lease.
+    pub(crate) long_leases_end: Millis,
     /// Whether the runs of earlier leaders are known, see [`Lead::settled`].
     settled: bool,
     /// Jobs with occurrences that have not begun.
@@ -177,6 +185,10 @@
             run_count: 0,
             model_saved: now.mono,
             settle_deadline: now.mono + wait as Millis,
+            long_leases_end: now.mono
+                + bounds.isolation_limit
+                + MAX_REPLY_TIME
+                + expiry(bounds.max_lease),
             settled: false,
             recurring: BTreeSet::new(),
             suspects: BTreeSet::new(),
@@ -395,8 +407,11 @@
     /// runs, or the leases that those leaders granted have certainly expired.
     pub fn settled(&mut self, now: Now) -> bool {
         if !self.settled {
-            let all = self.workers.values().all(|worker| worker.synced);
-            self.settled = (all && !self.workers.is_empty()) || now.mono >= self.settle_deadline;
+            let silent = self.workers.values().filter(|worker| !worker.synced);
+            let last_end = silent.map(|worker| worker.earlier_leases_end).max();
+            let all = last_end.is_none();
+            let expired = now.mono >= self.settle_deadline.max(last_end.unwrap_or(0));
+            self.settled = (all && !self.workers.is_empty()) || expired;
             if self.settled {
                 event!("settled", epoch = self.epoch, all_listed = all);
             }
@@ -404,6 +419,11 @@
         self.settled
     }
 
+    /// Returns whether leases of earlier leaders may still be valid.
+    pub(crate) fn settles_by_time(&self, now: Now) -> bool {
+        now.mono < self.settle_deadline
+    }
+
     /// Returns how many times a worker has been compared with a task so far.
     pub fn evaluations(&self) -> u64 {
         self.evaluated.get()
--- a/crates/lead/src/restart.rs
+++ b/crates/lead/src/restart.rs
@@ -13,6 +13,8 @@
         self.note_restart(id, incarnation);
         let batch = self.journal.add_worker(id);
         let max_lease = self.bounds.max_lease;
+        // An earlier leader that has not heard of the restart may still grant leases.
+        let inherited_end = if self.settles_by_time(now) { self.long_leases_end } else { 0 };
         let Some(worker) = self.workers.get_mut(id) else { return };
         event!(
             "worker_restarted",
@@ -33,6 +35,8 @@
         worker.acked = 0;
         worker.pending_acks.clear();
         worker.hold_earlier_leases(max_lease, now.mono);
+        worker.earlier_leases_end = worker.earlier_leases_end.max(inherited_end);
+        worker.long_leases = true;
         let unconfirmed: BTreeSet<(TaskId, u64)> = worker
             .unconfirmed_starts
             .iter()
@@ -65,6 +69,16 @@
         }
     }
 
+    /// Records whether a worker may hold leases granted on an earlier clock, for the next leader.
+    pub(crate) fn record_long_leases(&mut self, id: &Name, now: Now) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let long_leases = now.mono < worker.earlier_leases_end;
+        if worker.record_batch.is_some() && worker.long_leases != long_leases {
+            worker.long_leases = long_leases;
+            self.journal.add_worker(id);
+        }
+    }
+
     /// Handles the end of a run that was kept over the restart of its worker: an earlier start
     /// of its task may still be carried out in the present incarnation.
     pub(crate) fn guard_late_start(&mut self, id: &Name, task: TaskId, now: Now) {
--- a/crates/lead/src/restore.rs
+++ b/crates/lead/src/restore.rs
@@ -64,6 +64,10 @@
         };
         let mut worker = Worker::new(info);
         worker.record_batch = Some(0);
+        if record.long_leases {
+            worker.long_leases = true;
+            worker.earlier_leases_end = self.long_leases_end;
+        }
         self.workers.insert(id.into(), worker);
     }
 }
--- a/crates/lead/src/watch.rs
+++ b/crates/lead/src/watch.rs
@@ -17,6 +17,7 @@
         for id in ids {
             self.retry_stops(&id, now);
             self.expire(&id, now, unclaimed_at);
+            self.record_long_leases(&id, now);
             self.drain(&id);
             self.forget(&id, now);
         }
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -21,7 +21,7 @@
 /// Time without a reply after which a worker gets no new work.
 const MAX_SILENCE: Millis = 2_000;
 /// Longest time from a command to its reply.
-const MAX_REPLY_TIME: Millis = 1_000;
+pub(crate) const MAX_REPLY_TIME: Millis = 1_000;
 /// Amount by which a reading of the worker clock may be off the estimate beyond that.
 const CLOCK_TOLERANCE: Millis = 400;
 
@@ -57,6 +57,8 @@
     /// When leases that the present incarnation may have been granted on the clock of an
     /// earlier one have certainly expired; 0 if there are none.
     pub(crate) earlier_leases_end: Millis,
+    /// Whether its record in the store says that there may be such leases.
+    pub(crate) long_leases: bool,
     /// When its last restart became known; 0 if it has not restarted.
     pub(crate) restarted_at: Millis,
     /// Whether a relay may be renewing its leases, so that `lease_expiry` may be outdated.
@@ -110,7 +112,7 @@
 }
 
 /// Returns the time after which a lease with `left` on the worker clock has certainly expired.
-fn expiry(left: Millis) -> Millis {
+pub(crate) fn expiry(left: Millis) -> Millis {
     (left as f64 / MIN_CLOCK_RATE) as Millis + EXPIRY_MARGIN
 }
 
@@ -130,6 +132,7 @@
             list_clock: 0,
             lease_expiry: 0,
             earlier_leases_end: 0,
+            long_leases: false,
             restarted_at: 0,
             renewed_by_relay: false,
             unconfirmed_starts: Vec::new(),
--- a/crates/lead/tests/restart.rs
+++ b/crates/lead/tests/restart.rs
@@ -343,6 +343,66 @@
     assert!(started >= 10_200, "started again after {started} ms");
 }
 
+/// Guards against the same where the restart became known to the new leader only, by the worker's
+/// record, and against a wait for every worker that cannot be reached.
+#[test]
+fn a_new_leader_waits_as_long_as_the_earlier_one_can_have_granted() {
+    struct Case {
+        name: &'static str,
+        /// What happens before the takeover, and after it.
+        before: fn(&mut Fleet, &Sent),
+        incarnation: u64,
+        /// Time from the takeover until the task is started elsewhere.
+        waits: std::ops::Range<u64>,
+    }
+    let cases = [
+        // The decisions of the earlier leader and the lease, on a clock that runs 2 % slow.
+        Case {
+            name: "no restart",
+            before: |_, _| {},
+            incarnation: 1,
+            waits: (2_000 + 5_000) * 100 / 98..7_500,
+        },
+        Case {
+            name: "a restart that only its record shows",
+            before: |_, _| {},
+            incarnation: RESTARTED,
+            waits: 2_000 + 10_000 * 100 / 98..14_000,
+        },
+        Case {
+            name: "a restart long ago",
+            before: |fleet, sent| {
+                fleet.restart(&sent.0, RESTARTED);
+                fleet.list(&sent.0, &[(&sent.1, 0)], &[]);
+                fleet.advance(26_000);
+                fleet.commands();
+                fleet.store();
+            },
+            incarnation: RESTARTED,
+            waits: (2_000 + 5_000) * 100 / 98..7_500,
+        },
+    ];
+    for case in cases {
+        let (mut fleet, sent) = fleet_with_run();
+        let other = if &*sent.0 == "w0" { "w1" } else { "w0" };
+        (case.before)(&mut fleet, &sent);
+        fleet.take_over();
+        let taken_over_at = fleet.now();
+        fleet.restart(&sent.0, case.incarnation);
+        fleet.restart(other, 1);
+        fleet.store();
+        let mut started = None;
+        while started.is_none() && fleet.now() < taken_over_at + 30_000 {
+            fleet.advance(50);
+            fleet.list(other, &[], &[]);
+            fleet.fail_poll(&sent.0);
+            started = (!fleet.starts().is_empty()).then(|| fleet.now() - taken_over_at);
+        }
+        let started = started.unwrap_or_else(|| panic!("{}: never started again", case.name));
+        assert!(case.waits.contains(&started), "{}: after {started} ms", case.name);
+    }
+}
+
 /// Guards against two runs of a task: a relay's times are early, so that a start confirmed
 /// through it seems older than a list that the leader had requested before.
 #[test]
