A worker's start in the far future is not believed

Another writer's entry under a worker's identifier, with a number too large as the time of its start, made all that the worker said itself that of an earlier incarnation: it was ignored for good, and with it its runs and its ends.

Change: an entry that names a start more than an hour ahead of this VM's clock is unreadable: the worker gets no new work until its next entry, and its runs go on. Clocks of the deployments differ by seconds.

--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -16,6 +16,8 @@
 const MIXED_LIST_WAIT: Millis = 400;
 /// Amount by which a relay's estimate of a worker clock may be ahead of the leader's.
 const RELAY_CLOCK_MARGIN: Millis = 250;
+/// Amount by which a worker's start may seem to be in the future, since clocks differ.
+const MAX_CLOCK_DIFFERENCE: Millis = 3_600_000;
 /// Most completions that a worker lists in one reply.
 const MAX_LISTED_COMPLETIONS: usize = 500;
 
@@ -35,8 +37,11 @@
                 self.on_unlisted(&item.key, now);
                 continue;
             }
-            let Some(info) = decode(&item.key, &item.value) else {
-                log::warn!("event=record_skipped key={} reason=unreadable", item.key);
+            let info = decode(&item.key, &item.value);
+            // All that a worker says later would count as said by an earlier incarnation.
+            let latest = now.unix.saturating_add(MAX_CLOCK_DIFFERENCE);
+            let Some(info) = info.filter(|info| info.incarnation <= latest) else {
+                log::warn!("event=record_skipped key={:?} reason=unreadable", item.key);
                 self.on_unreadable(&item.key, now);
                 continue;
             };
--- a/crates/lead/tests/restart.rs
+++ b/crates/lead/tests/restart.rs
@@ -4,9 +4,9 @@
 mod fleet;
 
 use base::Size;
-use fleet::{Fleet, Sent};
+use fleet::{Fleet, NOW, Sent, info};
 use job::{Spec, Step};
-use port::{Outcome, Refusal, WorkerError};
+use port::{Outcome, Refusal, WorkerError, WorkerInfo};
 
 /// Incarnation of a worker after its restart.
 const RESTARTED: u64 = 2;
@@ -333,6 +333,22 @@
     assert!(stops.iter().any(|stop| stop.run == sent.1.run), "{stops:?}");
 }
 
+/// Guards against a worker that is ignored for good: an entry of another writer under its identifier
+/// named a start in the far future, and all that the worker said itself was of an earlier one.
+#[test]
+fn a_start_in_the_far_future_is_not_believed() {
+    let (mut fleet, sent) = fleet_with_run();
+    for incarnation in [u64::MAX, NOW.unix + 86_400_000] {
+        fleet.record(&sent.0, Some(WorkerInfo { incarnation, ..info(&sent.0) }));
+        fleet.commands();
+    }
+    let now = fleet.now();
+    fleet.list_since(&sent.0, now, 1, &[&sent.1]);
+    assert_eq!(fleet.lead.workers[&sent.0].runs[&sent.1.task].percent, 10);
+    fleet.record(&sent.0, Some(info(&sent.0)));
+    assert!(fleet.lead.workers[&sent.0].listed);
+}
+
 /// Guards against two runs of a task: a worker restarts, holds the longest lease on its earlier
 /// clock and is cut off, and a leader that takes over waits for shorter leases only.
 #[test]
