An append of an earlier epoch confirms nothing

An append that is answered after its leader was deposed and has claimed again counted as an answer to the newer epoch's append: it set the log's end back and confirmed the leader as of the newer append's time. By reading, not seen; no test, since the process has none without I/O.

--- a/crates/node/src/append.rs
+++ b/crates/node/src/append.rs
@@ -63,7 +63,7 @@
                 return node.depose(&format!("sequence {expected} expected, not {seq}"));
             }
             Err(e @ (AppendError::Refused(_) | AppendError::InDoubt(_))) => {
-                on_failure(node, seq, &e);
+                on_failure(node, epoch, seq, &e);
                 sleep(RETRY_DELAY).await;
             }
         }
@@ -71,8 +71,11 @@
 }
 
 /// Records a failed append, and logs the first of an outage.
-fn on_failure(node: &Rc<Node>, seq: u64, why: &AppendError) {
+fn on_failure(node: &Rc<Node>, epoch: u64, seq: u64, why: &AppendError) {
     let mut shared = node.shared.borrow_mut();
+    if shared.lead_in(epoch).is_none() {
+        return;
+    }
     if shared.unavailable_since == 0 {
         shared.unavailable_since = shared.append_started.max(1);
         event!("store_lost", seq = seq, why = why);
@@ -85,6 +88,10 @@
 fn on_success(node: &Rc<Node>, epoch: u64, batch: &Batch, end: u64) {
     let time = now();
     let mut shared = node.shared.borrow_mut();
+    // The answer to an append of an earlier epoch proves nothing about this one.
+    if shared.lead_in(epoch).is_none() {
+        return;
+    }
     if shared.unavailable_since > 0 {
         event!("store_regained", ms = time.mono - shared.unavailable_since);
     }
