--- a/crates/elect/src/elect.rs
+++ b/crates/elect/src/elect.rs
@@ -232,7 +232,7 @@
     }
 
     /// Returns the members to store: the VMs that have recently been heard from, if they are not
-    /// those that the store has.
+    /// those of the newest record.
     pub fn members_due(&self, now: Millis) -> Option<BTreeSet<Name>> {
         let heard = self.peers.iter().filter(|(_, peer)| now < peer.received_at + MEMBER_SILENCE);
         let mut members: BTreeSet<Name> = heard.map(|(name, _)| name.clone()).collect();
--- a/crates/elect/src/lease.rs
+++ b/crates/elect/src/lease.rs
@@ -70,9 +70,9 @@
         self.heard_at = if self.members.is_some() { newest } else { 0 };
     }
 
-    /// Returns the VMs whose word is needed, as the store has them.
+    /// Returns the members of the newest record that was sent to the store.
     pub(crate) fn members(&self) -> Option<&BTreeSet<Name>> {
-        self.members.as_ref()
+        self.proposed.as_ref().or(self.members.as_ref())
     }
 
     /// Records that a record of the members may reach the store from now on.
--- a/crates/lead/src/journal.rs
+++ b/crates/lead/src/journal.rs
@@ -133,9 +133,13 @@
 }
 
 impl Lead {
-    /// Adds the record of the members of the cell to the next batch.
-    pub fn save_members(&mut self, members: BTreeSet<Name>) {
-        self.journal.members = Some(members);
+    /// Adds the record of the members of the cell to the next batch. Returns whether the batch did
+    /// not contain it yet.
+    pub fn save_members(&mut self, members: BTreeSet<Name>) -> bool {
+        let members = Some(members);
+        let changed = self.journal.members != members;
+        self.journal.members = members;
+        changed
     }
 
     /// Takes the next batch to append; `None` if nothing has changed.
--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -167,9 +167,11 @@
     let Some(members) = election.members_due(now.mono).filter(|_| lead.settled(now)) else {
         return;
     };
-    event!("members", epoch = lead.epoch, vms = members.len());
-    lead.save_members(members);
-    node.append_wakeup.notify();
+    let vms = members.len();
+    if lead.save_members(members) {
+        event!("members", epoch = lead.epoch, vms = vms);
+        node.append_wakeup.notify();
+    }
 }
 
 /// Sends the heartbeats that are due.
