Logs tell which end, which life and which evidence a start rests on

'run_twice' and the counter runs_twice raise an alarm where a run is found beside another one of its task; starts_unsettled counts starts while runs of earlier leaders may be unknown. No logic is changed.

Cost: two numbers more in two kinds of line that are written once a run.

--- a/crates/lead/src/completions.rs
+++ b/crates/lead/src/completions.rs
@@ -17,8 +17,10 @@
         let task = completion.task.clone();
         self.remove_run(worker, &completion, now);
         let batch = self.apply_completion(worker, &completion, now);
+        let mut incarnation = 0;
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.pending_acks.push_back((completion.number, batch));
+            incarnation = worker.info.incarnation;
         }
         event!(
             "end",
@@ -26,6 +28,8 @@
             worker = worker,
             run = completion.run,
             how = format!("{:?}", completion.outcome).to_lowercase(),
+            number = completion.number,
+            born = incarnation,
             batch = batch
         );
     }
--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -25,6 +25,8 @@
 const WORKER_CHECK_PERIOD: Millis = 30;
 /// Time between two records of the interference model.
 const MODEL_SAVE_PERIOD: Millis = 3_000;
+/// Most workers that a log line names.
+const MAX_NAMES: usize = 12;
 /// Factor by which waits are extended, to allow for the drift of worker clocks.
 const CLOCK_DRIFT_FACTOR: f64 = 1.03;
 
@@ -143,7 +145,9 @@
     /// the longest lease.
     pub(crate) long_leases_end: Millis,
     /// Whether the runs of earlier leaders are known, see [`Lead::settled`].
-    settled: bool,
+    pub(crate) settled: bool,
+    /// Newest time at which the store had shown that no other VM had claimed.
+    pub(crate) unclaimed_at: Millis,
     /// Jobs with occurrences that have not begun.
     recurring: BTreeSet<Name>,
     /// Tasks that may crash their workers and are started in isolation.
@@ -190,6 +194,7 @@
                 + MAX_REPLY_TIME
                 + expiry(bounds.max_lease),
             settled: false,
+            unclaimed_at: now.mono,
             recurring: BTreeSet::new(),
             suspects: BTreeSet::new(),
             isolated: BTreeSet::new(),
@@ -413,7 +418,15 @@
             let expired = now.mono >= self.settle_deadline.max(last_end.unwrap_or(0));
             self.settled = (all && !self.workers.is_empty()) || expired;
             if self.settled {
-                event!("settled", epoch = self.epoch, all_listed = all);
+                let silent = self.workers.iter().filter(|(_, worker)| !worker.synced);
+                let silent: Vec<&str> = silent.map(|(id, _)| &**id).take(MAX_NAMES).collect();
+                event!(
+                    "settled",
+                    epoch = self.epoch,
+                    all_listed = all,
+                    workers = self.workers.len(),
+                    silent = silent.join(",")
+                );
             }
         }
         self.settled
@@ -437,6 +450,7 @@
     /// Runs everything that depends on time, then places the waiting tasks. No other leader had
     /// taken over at `unclaimed_at`.
     pub fn tick(&mut self, now: Now, unclaimed_at: Millis) {
+        self.unclaimed_at = unclaimed_at;
         if now.mono >= self.workers_checked + WORKER_CHECK_PERIOD {
             self.workers_checked = now.mono;
             self.run_timers(now);
--- a/crates/lead/src/place.rs
+++ b/crates/lead/src/place.rs
@@ -154,6 +154,9 @@
         let start =
             Start { task: id.clone(), run: run_id, text, deadline, token, checkpoint, ticket };
         self.commands.push(Command::Start(worker.addr(), start));
+        if !self.settled {
+            metrics::counter!("starts_unsettled").increment(1);
+        }
         metrics::histogram!("wait_ms", "kind" => TaskKind::of(&step).label()).record(waited as f64);
         event!(
             "start",
@@ -167,7 +170,9 @@
             cpu = step.size.cpu,
             waited = waited,
             kind = TaskKind::of(&step).label(),
-            age = now.mono.saturating_sub(worker.replied_at)
+            age = now.mono.saturating_sub(worker.replied_at),
+            unclaimed = now.mono.saturating_sub(self.unclaimed_at),
+            settled = self.settled
         );
     }
 }
--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -317,10 +317,12 @@
         let step = job.as_ref().and_then(|job| job.step(&row.task)).cloned().unwrap_or_default();
         let terminal = job.as_ref().is_none_or(|job| job.is_terminal());
         let mut wanted = false;
+        let mut others = Vec::new();
         if let Some(job) = job {
             job.started = true;
             if let Some(task) = job.task_mut(&row.task) {
                 wanted = !own && !terminal && !task.done && task.workers.is_empty();
+                others.clone_from(&task.workers);
                 task.workers.push(id.clone());
                 if !row.checkpoint.is_empty() {
                     task.checkpoint = row.checkpoint.clone();
@@ -344,6 +346,16 @@
         if wanted {
             event!("adopted", task = row.task, worker = id, run = row.run);
         } else {
+            if !step.speculative && !others.is_empty() {
+                event!(
+                    "run_twice",
+                    task = row.task,
+                    worker = id,
+                    run = row.run,
+                    others = others.join(",")
+                );
+                metrics::counter!("runs_twice").increment(1);
+            }
             self.stop(id, &row.task, "not_wanted");
         }
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -337,6 +337,16 @@
     }
 
     fn on_reply(&mut self, reply: &PollReply, now: Millis) {
+        let newer = reply.incarnation.filter(|listed| *listed > self.state.incarnation);
+        if let Some(listed) = newer.filter(|_| reply.incarnation != self.incarnation) {
+            event!(
+                "relay_worker_restarted",
+                worker = self.state.worker.id,
+                known = self.state.incarnation,
+                born = listed,
+                acked = self.state.acked
+            );
+        }
         if self.incarnation.is_some() && reply.incarnation != self.incarnation {
             // The worker has restarted: it numbers its completions anew.
             self.state.acked = 0;
