A relay acknowledges only to the incarnation that it has seen

Callers would see: a task runs again after its completion was acknowledged. A worker crashes and is assigned to a relay with the acknowledgements of its earlier life; it restarts, completes new tasks, and the relay's first polls make it forget them before any leader has seen them. The next leader starts them again.

Cause: the relay took the leader's acknowledgements for good without a list, and reset them at a change of incarnation only where it had known one before. A list that had been requested before a poll failed ended the doubt, too, and acknowledgements of the leader for a newer incarnation went out to the one listed last.

Change: a poll acknowledges, and renews leases, only where the newest list is of the incarnation that the leader names, and a list that was requested after the last failed poll has shown it. The relay's numbers of completions count for the incarnation of the newest list; lists of earlier ones, which arrive late, change nothing.

Why it works: numbers go out only to an incarnation that has replied to this relay, and that the leader's numbers are of. Deadlines of another incarnation's clock, which give the longest lease, are left out by the same condition. What remains is a restart between a reply and the next poll; a poll is on its way nearly all the time, and its failure is a doubt.

Ruled out: acknowledgements of zero with the first poll only (an update that names another incarnation, and a late list, had the same effect); naming the incarnation in calls (workers compare identifiers, which a restart keeps).

Before the fix the test failed: assertion `left == right` failed: no list yet left: 7 right: 0 and, with the cases printed in place of asserted, four more of the eight: it had restarted before the first list: acked 7 for 0, renews true for false the leader knows of a restart after the newest list: acked 3 for 0, renews true for false a list of the earlier incarnation arrives late: acked 0 for 0, renews true for false a list requested before a poll failed arrives after it: acked 7 for 0, renews true for false

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -57,14 +57,14 @@
     list: RunList,
     /// Last reading of the worker clock, and when it was received.
     clock: Option<(Millis, Millis)>,
+    /// Incarnation that made the newest list; `None` before the first.
     incarnation: Option<u64>,
     /// When the worker last replied; at first, when it was assigned.
     replied_at: Millis,
-    /// Newest completion that has been reported.
+    /// Newest completion of that incarnation that has been reported.
     reported: u64,
-    /// Whether it may have restarted since its last list: acknowledgements hold for one
-    /// incarnation only.
-    may_be_new: bool,
+    /// Since when it may have restarted; 0 if a list requested later has shown its incarnation.
+    doubted_at: Millis,
     /// Newest permission to renew the leases, and the newest that has been given up.
     permission: u64,
     given_up: u64,
@@ -118,11 +118,10 @@
         let session = self.current(session)?;
         let (token, lease, valid) = (session.epoch, session.lease, now < session.valid_until);
         let worker = session.workers.get(id)?;
-        // A worker that may have restarted would take the deadline for the longest lease.
-        let renews = valid && worker.renews(now) && !worker.may_be_new;
+        let renews = valid && worker.renews(now) && worker.is_known();
         let deadline = worker.clock_now(now).filter(|_| renews).map(|clock| clock + lease);
         let wait = if at_once || worker.clock.is_none() { 0 } else { worker.state.wait };
-        let acked = if worker.may_be_new { 0 } else { worker.state.acked };
+        let acked = if worker.is_known() { worker.state.acked } else { 0 };
         let poll = Poll { token, acked, deadline, wait };
         Some((worker.state.worker.clone(), poll))
     }
@@ -141,13 +140,13 @@
         let (sent_at, received_at) = (session.leader_time(sent), session.leader_time(now));
         let Some(worker) = session.workers.get_mut(id) else { return };
         let result = reply.map(|reply| {
-            worker.on_reply(&reply, now);
+            worker.on_reply(&reply, sent, now);
             worker.list.diff(reply)
         });
         match result {
             Ok(_) => {}
             Err(WorkerError::Refused(_, Some(_))) => worker.replied_at = now,
-            Err(_) => worker.may_be_new = true,
+            Err(_) => worker.doubted_at = now,
         }
         if !worker.renews(now) {
             worker.given_up = worker.permission;
@@ -173,7 +172,7 @@
     /// Returns whether completions of a worker have been reported that are not durable yet.
     pub fn unacked(&mut self, session: u64, id: &Name) -> bool {
         let worker = self.current(session).and_then(|session| session.workers.get(id));
-        worker.is_some_and(|worker| worker.state.acked < worker.reported)
+        worker.is_some_and(|worker| worker.durable() < worker.reported)
     }
 
     /// Returns the report to send, with the name of the leader; `None` if none is due. A report
@@ -320,44 +319,55 @@
             incarnation: None,
             replied_at: now,
             reported: 0,
-            may_be_new: false,
+            doubted_at: 0,
             permission: 0,
             given_up: 0,
         }
     }
 
-    /// Adopts what the leader knows. Acknowledgements hold for one incarnation only, of which
-    /// this VM may know a newer one.
-    fn update(&mut self, mut state: RelayedWorker, permission: u64) {
+    fn update(&mut self, state: RelayedWorker, permission: u64) {
         self.permission = self.permission.max(permission);
-        if self.incarnation.is_some_and(|known| known > state.incarnation) {
-            state.acked = self.state.acked;
-        }
         self.state = state;
     }
 
-    fn on_reply(&mut self, reply: &PollReply, now: Millis) {
-        let newer = reply.incarnation.filter(|listed| *listed > self.state.incarnation);
-        if let Some(listed) = newer.filter(|_| reply.incarnation != self.incarnation) {
-            event!(
-                "relay_worker_restarted",
-                worker = self.state.worker.id,
-                known = self.state.incarnation,
-                born = listed,
-                acked = self.state.acked
-            );
+    /// Returns whether the worker is of the incarnation that the leader knows, as far as can be
+    /// told. Another one would forget completions that it has never listed, and would take a
+    /// deadline for the longest lease.
+    fn is_known(&self) -> bool {
+        self.incarnation == Some(self.state.incarnation) && self.doubted_at == 0
+    }
+
+    /// Returns the newest durable completion of the incarnation that made the newest list.
+    fn durable(&self) -> u64 {
+        if self.incarnation == Some(self.state.incarnation) { self.state.acked } else { 0 }
+    }
+
+    /// Handles a list that was requested at `sent`.
+    fn on_reply(&mut self, reply: &PollReply, sent: Millis, now: Millis) {
+        let listed = reply.incarnation.unwrap_or(self.state.incarnation);
+        if self.incarnation.is_some_and(|newest| listed < newest) {
+            return;
         }
-        if self.incarnation.is_some() && reply.incarnation != self.incarnation {
-            // The worker has restarted: it numbers its completions anew.
-            self.state.acked = 0;
+        if self.incarnation != Some(listed) {
+            if listed > self.state.incarnation {
+                event!(
+                    "relay_worker_restarted",
+                    worker = self.state.worker.id,
+                    known = self.state.incarnation,
+                    born = listed,
+                    acked = self.state.acked
+                );
+            }
+            self.incarnation = Some(listed);
             self.reported = 0;
             self.clock = None;
         }
-        self.incarnation = reply.incarnation.or(Some(self.state.incarnation));
         if self.clock.is_none_or(|(before, _)| reply.clock >= before) {
             self.clock = Some((reply.clock, now));
         }
-        self.may_be_new = false;
+        if self.doubted_at <= sent {
+            self.doubted_at = 0;
+        }
         self.replied_at = now;
         let newest = reply.completions.iter().map(|completion| completion.number).max();
         self.reported = self.reported.max(newest.unwrap_or(0));
--- a/crates/relay/tests/sessions.rs
+++ b/crates/relay/tests/sessions.rs
@@ -61,13 +61,18 @@
     /// Opens a session and delivers the first orders and report. The leader knows what runs on
     /// the worker if `synced`.
     fn open(synced: bool) -> Pair {
+        Pair::open_with(worker("w", synced))
+    }
+
+    /// The same with a worker as the leader knows it.
+    fn open_with(worker: RelayedWorker) -> Pair {
         let mut pair = Pair {
             now: 1_000,
             dispatcher: Dispatcher::new("leader".into(), EPOCH, LEASE),
             relay: Relay::default(),
             session: 0,
         };
-        pair.dispatcher.assign(&"vm".into(), vec![worker("w", synced)], pair.now);
+        pair.dispatcher.assign(&"vm".into(), vec![worker], pair.now);
         pair.session = pair.dispatcher.ready()[0];
         let orders = pair.take_orders();
         let accepted = pair.give(orders).expect("the first orders are accepted");
@@ -118,6 +123,13 @@
         self.relay.on_poll(session, &"w".into(), sent + SKEW, None, reply, local);
     }
 
+    /// Has the leader tell the relay what it knows of the worker.
+    fn update(&mut self, worker: RelayedWorker) {
+        self.dispatcher.update(worker);
+        let orders = self.take_orders();
+        self.give(orders);
+    }
+
     /// Has the leader hear that the worker has replied, and permit renewals.
     fn sync(&mut self) {
         self.reply(self.now, Ok(list(500, 1, Vec::new())));
@@ -442,3 +454,89 @@
     pair.give(orders);
     assert_eq!(pair.poll().acked, 0);
 }
+
+/// Guards against completions that are lost: a relay acknowledged those of an earlier incarnation to a
+/// worker that had restarted, which forgot its own before it had listed them; the tasks were
+/// started again. Its deadlines, on another clock, gave the longest lease.
+#[test]
+fn a_relay_acknowledges_and_renews_only_for_the_incarnation_that_it_has_seen() {
+    struct Case {
+        name: &'static str,
+        events: fn(&mut Pair),
+        /// What the next poll acknowledges, and whether it renews leases.
+        acked: u64,
+        renews: bool,
+    }
+    let cases = [
+        Case { name: "no list yet", events: |_| {}, acked: 0, renews: false },
+        Case {
+            name: "a list of the incarnation that the leader knows",
+            events: |pair| pair.reply(pair.now, Ok(list(500, 1, Vec::new()))),
+            acked: 7,
+            renews: true,
+        },
+        Case {
+            name: "it had restarted before the first list",
+            events: |pair| pair.reply(pair.now, Ok(list(20, 2, Vec::new()))),
+            acked: 0,
+            renews: false,
+        },
+        Case {
+            name: "the leader knows of the restart since",
+            events: |pair| {
+                pair.reply(pair.now, Ok(list(20, 2, Vec::new())));
+                pair.update(RelayedWorker { incarnation: 2, acked: 1, ..worker("w", true) });
+            },
+            acked: 1,
+            renews: true,
+        },
+        Case {
+            name: "the leader knows of a restart after the newest list",
+            events: |pair| {
+                pair.reply(pair.now, Ok(list(500, 1, Vec::new())));
+                pair.update(RelayedWorker { incarnation: 2, acked: 3, ..worker("w", true) });
+            },
+            acked: 0,
+            renews: false,
+        },
+        Case {
+            name: "a list of the earlier incarnation arrives late",
+            events: |pair| {
+                pair.reply(pair.now, Ok(list(500, 1, Vec::new())));
+                pair.reply(pair.now, Ok(list(20, 2, Vec::new())));
+                pair.reply(pair.now - 10, Ok(list(500, 1, Vec::new())));
+            },
+            acked: 0,
+            renews: false,
+        },
+        Case {
+            name: "a list requested before a poll failed arrives after it",
+            events: |pair| {
+                pair.reply(pair.now, Ok(list(500, 1, Vec::new())));
+                let sent = pair.now;
+                pair.now += 100;
+                pair.reply(sent, Err(WorkerError::InDoubt("timeout".into())));
+                pair.reply(sent, Ok(list(600, 1, Vec::new())));
+            },
+            acked: 0,
+            renews: false,
+        },
+        Case {
+            name: "a list requested after a poll failed",
+            events: |pair| {
+                pair.reply(pair.now, Ok(list(500, 1, Vec::new())));
+                pair.reply(pair.now, Err(WorkerError::InDoubt("timeout".into())));
+                pair.reply(pair.now, Ok(list(600, 1, Vec::new())));
+            },
+            acked: 7,
+            renews: true,
+        },
+    ];
+    for case in cases {
+        let mut pair = Pair::open_with(RelayedWorker { acked: 7, ..worker("w", true) });
+        (case.events)(&mut pair);
+        let poll = pair.poll();
+        assert_eq!(poll.acked, case.acked, "{}", case.name);
+        assert_eq!(poll.deadline.is_some(), case.renews, "{}", case.name);
+    }
+}
