A leader doubts the incarnation of a worker whose relay is lost

Callers would see: a task runs again after its completion was acknowledged, as with a relay's own acknowledgements of another incarnation.

Cause: when a relay is given up the leader polls its workers at once, with the acknowledgements of the last list that the relay had reported. That list may be older than the relay's silence of 0.7 s and what it had not sent before; a worker that restarted meanwhile forgets completions that it listed to nobody but the relay, or to no one. A failed poll would have raised a doubt, but the report of it was lost with the relay.

Change: the loss of a relay is a doubt about each of its workers: they are polled at once, without acknowledgement and renewal, and with both after a list that was requested since.

Cost: one poll for each worker of a lost relay, and a renewal that comes a round trip later.

Ruled out: replying at once to all polls in doubt in place of the additional poll (a worker whose lists are ignored would be polled without a pause).

Before the fix the case failed: assertion `left == right` failed: its relay is lost, which may have seen it restart left: 7 right: 0

--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -162,13 +162,14 @@
     }
 
     /// Handles the loss of a worker's relay, which may have renewed its leases until
-    /// `granted_until`.
-    pub fn on_relay_closed(&mut self, id: &Name, granted_until: Millis) {
+    /// `granted_until`. The worker may have restarted since its last reported list.
+    pub fn on_relay_closed(&mut self, id: &Name, granted_until: Millis, now: Now) {
         let lease = self.bounds.lease + RELAY_CLOCK_MARGIN;
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.renewed_by_relay = false;
         let latest = worker.clock_now(granted_until).map_or(0, |clock| clock + lease);
         worker.lease_expiry = worker.lease_expiry.max(latest);
+        self.doubt(id, now);
     }
 
     /// Handles the result of a relay's poll.
--- a/crates/lead/tests/fleet/mod.rs
+++ b/crates/lead/tests/fleet/mod.rs
@@ -423,6 +423,12 @@
         self.lead.on_relayed_poll(&times, Err(fault), self.time());
     }
 
+    /// Lets a worker's relay be lost, whose permission to renew leases ends now.
+    pub(crate) fn lose_relay(&mut self, id: &str) {
+        let time = self.time();
+        self.lead.on_relay_closed(&id.into(), time.mono, time);
+    }
+
     pub(crate) fn drain(&mut self, id: &str) {
         let time = self.time();
         let n = id[1..].parse().expect("a number");
--- a/crates/lead/tests/restart.rs
+++ b/crates/lead/tests/restart.rs
@@ -182,6 +182,11 @@
             },
             acked: 0,
         },
+        Case {
+            name: "its relay is lost, which may have seen it restart",
+            event: |fleet, sent| fleet.lose_relay(&sent.0),
+            acked: 0,
+        },
         Case {
             name: "a stop is confirmed with a clock that has started anew",
             event: |fleet, sent| fleet.reply_stop_at(sent, 40),
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -196,7 +196,7 @@
         let mut shared = node.shared.borrow_mut();
         let Some(lead) = shared.lead_in(epoch) else { return };
         for id in &closed.workers {
-            lead.on_relay_closed(id, closed.granted_until);
+            lead.on_relay_closed(id, closed.granted_until, time);
         }
         for (worker, command) in closed.in_doubt {
             let lost = Err(WorkerError::InDoubt("the relay was lost".to_owned()));
