Ends wait for what made them superfluous to be durable

Cause: an end that changed nothing was acknowledged at once: of a task that is done already (another member completed its gang, another copy came first), of a job that has failed or completed. What made the end superfluous may still be in memory only; a leader that is lost before its append leaves a successor that knows of no end, and the worker has forgotten this one.

This holds for every end of a known job: done, failed and stopped ones, lasting steps, occurrences that are over. At once goes, as before, what belongs to no known job: it is either a job whose end has been durable for ten minutes or one that nobody has accepted, so that no next leader starts anything of it. A cancelling that is not durable has no effect yet, so that its ends count as any others.

Why it works: batches become durable in the order of their numbers, and any change of the job is in the batch being gathered or in an earlier one.

Ruled out: an acknowledgement with the next batch whatever is in it (nothing may be gathered for three seconds); recording each superfluous end (an append for every member of a gang). Lasting steps could stay at once, since they start again however they end; they aren't made an exception, since they wait for an append that is on its way anyway.

--- a/crates/lead/src/completions.rs
+++ b/crates/lead/src/completions.rs
@@ -71,31 +71,41 @@
     }
 
     /// Applies the completion to its job. Returns the batch that has to be durable before the
-    /// completion may be acknowledged, 0 if none has.
+    /// completion may be acknowledged, 0 if none has. Where the completion changes nothing, this
+    /// may be due to changes that the next leader would not know of yet.
     fn apply_completion(&mut self, worker: &Name, completion: &Completion, now: Now) -> u64 {
         let id = &completion.task;
-        let Some(job) = self.jobs.get_mut(&id.job) else { return 0 };
-        let Some(step) = job.step(id).cloned() else { return 0 };
-        if job.is_terminal() {
+        if !self.jobs.contains_key(&id.job) {
             return 0;
         }
-        let attempts = job.queue.max_attempts;
-        let Some(task) = job.task_mut(id) else { return 0 };
-        if task.done {
-            return 0;
+        if self.change_task(worker, completion, now) {
+            return self.journal.add_progress(&id.job);
+        }
+        self.journal.batch_of(&id.job)
+    }
+
+    /// Applies the completion to its task. Returns whether the job has changed.
+    fn change_task(&mut self, worker: &Name, completion: &Completion, now: Now) -> bool {
+        let id = &completion.task;
+        let Some(job) = self.jobs.get_mut(&id.job) else { return false };
+        let Some(step) = job.step(id).cloned() else { return false };
+        if job.is_terminal() {
+            return false;
         }
+        let attempts = job.queue.max_attempts;
+        let Some(task) = job.task_mut(id).filter(|task| !task.done) else { return false };
         if !completion.checkpoint.is_empty() {
             task.checkpoint = completion.checkpoint.clone();
         }
         if step.long_running {
             task.avoid = Some(worker.clone());
             self.enqueue(id);
-            return 0;
+            return false;
         }
         match completion.outcome {
             Outcome::Done => {
                 self.finish_task(id, now);
-                return self.journal.add_progress(&id.job);
+                return true;
             }
             Outcome::Failed => {
                 if !task.failed_runs.contains(&completion.run) {
@@ -108,14 +118,14 @@
                     }
                     event!("job_failed", job = id.job, task = id, failures = attempts);
                     self.end_job(&id.job, now);
-                    return self.journal.add_progress(&id.job);
+                    return true;
                 }
             }
             Outcome::Stopped | Outcome::Lapsed | Outcome::Broken | Outcome::Alone => {}
         }
         self.stop_gang(id);
         self.enqueue(id);
-        self.journal.add_progress(&id.job)
+        true
     }
 
     /// Marks a task as done, stops its other runs and queues the tasks that depended on it.
--- a/crates/lead/tests/fleet/mod.rs
+++ b/crates/lead/tests/fleet/mod.rs
@@ -7,7 +7,7 @@
 
 use base::{Millis, Name, Now, Size};
 use job::{Queue, Spec, StepId, TaskId};
-use lead::{Bounds, Command, Lead, Run, RunState, Submitted};
+use lead::{Batch, Bounds, Command, Lead, Run, RunState, Submitted};
 use port::{
     Completion, Item, Outcome, PolicyReply, Poll, PollReply, Refusal, RunStatus, Start, Stop,
     WorkerError, WorkerInfo,
@@ -85,13 +85,18 @@
 
     /// Stores all pending journal batches.
     pub(crate) fn store(&mut self) {
-        let time = self.time();
         while let Some(batch) = self.lead.take_batch() {
-            let records = batch.records.iter().map(|r| (r.key.clone(), r.value.clone()));
-            self.stored.extend(records);
-            self.lead.on_stored(&batch, time);
+            self.append(&batch);
         }
+    }
+
+    /// Stores a journal batch.
+    pub(crate) fn append(&mut self, batch: &Batch) {
+        let time = self.time();
+        let records = batch.records.iter().map(|r| (r.key.clone(), r.value.clone()));
+        self.stored.extend(records);
         self.stored.retain(|_, value| !value.is_empty());
+        self.lead.on_stored(batch, time);
     }
 
     /// Replaces the leader by one that restores its state from the store.
@@ -119,10 +124,28 @@
         self.store();
     }
 
+    /// Accepts a job that fails with the first failed run.
+    pub(crate) fn accept_once(&mut self, id: &str, spec: Spec) {
+        let queue = Queue {
+            name: "q".into(),
+            service: "s".into(),
+            max_attempts: 1,
+            stretch: 2.0,
+            ..Queue::default()
+        };
+        self.lead.submit(&id.into(), &queue, spec, self.time());
+        self.store();
+    }
+
     pub(crate) fn cancel(&mut self, id: &str) {
+        self.request_cancel(id);
+        self.store();
+    }
+
+    /// Cancels a job; the cancelling is not stored yet.
+    pub(crate) fn request_cancel(&mut self, id: &str) {
         let time = self.time();
         self.lead.cancel(&id.into(), time);
-        self.store();
     }
 
     /// Submits a job to a queue that requires tickets and stores it.
--- /dev/null
+++ b/crates/lead/tests/handover.rs
@@ -0,0 +1,145 @@
+//! What a leader leaves to the next one, which knows only what is durable.
+
+#[allow(dead_code)]
+mod fleet;
+
+use base::Size;
+use fleet::Fleet;
+use job::{Spec, Step};
+use port::Outcome;
+
+fn step(count: u32) -> Step {
+    let size = Size { cpu: 2_500, memory: 100, accel: 0 };
+    Step { count, size, estimate: 1_000, ..Step::default() }
+}
+
+fn spec(steps: Vec<Step>) -> Spec {
+    Spec { text: "t".into(), steps, repeat: None }
+}
+
+/// Guards against ends that are acknowledged while what makes them superfluous is in memory only:
+/// the next leader knows of no end and starts the task again.
+#[test]
+fn ends_that_change_nothing_wait_for_earlier_changes_of_their_job() {
+    struct Case {
+        name: &'static str,
+        steps: Vec<Step>,
+        /// End of the first run, which is not durable, and of the second one.
+        ends: [Outcome; 2],
+        /// Whether the job is cancelled before the ends; the cancelling is not durable.
+        cancelled: bool,
+    }
+    let lasting = Step { long_running: true, ..step(1) };
+    let gang = Step { gang: true, ..step(2) };
+    let cases = [
+        Case {
+            name: "a gang that one member completed, and its job",
+            steps: vec![gang.clone()],
+            ends: [Outcome::Done, Outcome::Done],
+            cancelled: false,
+        },
+        Case {
+            name: "a gang that one member completed",
+            steps: vec![gang.clone(), Step { depends_on: vec![0], ..step(1) }],
+            ends: [Outcome::Done, Outcome::Done],
+            cancelled: false,
+        },
+        Case {
+            name: "a member that fails after the gang was done",
+            steps: vec![gang.clone(), Step { depends_on: vec![0], ..step(1) }],
+            ends: [Outcome::Done, Outcome::Failed],
+            cancelled: false,
+        },
+        Case {
+            name: "done in a job that has failed",
+            steps: vec![step(2)],
+            ends: [Outcome::Failed, Outcome::Done],
+            cancelled: false,
+        },
+        Case {
+            name: "failed in a job that has failed",
+            steps: vec![step(2)],
+            ends: [Outcome::Failed, Outcome::Failed],
+            cancelled: false,
+        },
+        Case {
+            name: "stopped in a job that has failed",
+            steps: vec![step(2)],
+            ends: [Outcome::Failed, Outcome::Stopped],
+            cancelled: false,
+        },
+        Case {
+            name: "a lasting task of a job that has failed",
+            steps: vec![step(1), lasting.clone()],
+            ends: [Outcome::Failed, Outcome::Stopped],
+            cancelled: false,
+        },
+        Case {
+            name: "a lasting task of a job that is being cancelled",
+            steps: vec![step(1), lasting],
+            ends: [Outcome::Stopped, Outcome::Done],
+            cancelled: true,
+        },
+        Case {
+            name: "a gang of a job that is being cancelled",
+            steps: vec![gang],
+            ends: [Outcome::Done, Outcome::Done],
+            cancelled: true,
+        },
+    ];
+    let mut early = Vec::new();
+    for case in cases {
+        for in_flight in [false, true] {
+            let name = format!("{}, in flight: {in_flight}", case.name);
+            let mut fleet = Fleet::open(3);
+            fleet.accept_once("a", spec(case.steps.clone()));
+            let starts = fleet.starts();
+            assert_eq!(starts.len(), 2, "{name}");
+            starts.iter().for_each(|sent| fleet.reply_start(sent, Ok(1)));
+            if case.cancelled {
+                fleet.request_cancel("a");
+            }
+            fleet.list(&starts[0].0, &[], &[(1, &starts[0].1, case.ends[0])]);
+            let batch = if in_flight { fleet.lead.take_batch() } else { None };
+            fleet.list(&starts[1].0, &[], &[(1, &starts[1].1, case.ends[1])]);
+            if fleet.poll(&starts[1].0).acked > 0 {
+                early.push(name.clone());
+            }
+            batch.iter().for_each(|batch| fleet.append(batch));
+            fleet.store();
+            assert_eq!(fleet.poll(&starts[1].0).acked, 1, "{name}: durable");
+        }
+    }
+    assert!(early.is_empty(), "acknowledged too early: {early:#?}");
+}
+
+/// Guards against a second copy's end that is acknowledged before the first one's is durable.
+#[test]
+fn the_end_of_a_second_copy_waits_for_that_of_the_first() {
+    let mut fleet = Fleet::open(2);
+    fleet.accept("typical", spec(vec![step(1)]));
+    fleet.start_all();
+    fleet.advance(200);
+    fleet.finish_jobs();
+    fleet.store();
+    fleet.accept("a", spec(vec![Step { speculative: true, ..step(1) }]));
+    let first = fleet.starts().remove(0);
+    fleet.reply_start(&first, Ok(1));
+    let mut second = None;
+    for _ in 0..200 {
+        fleet.advance(60);
+        fleet.list_at(&first.0, &first.1, 10);
+        fleet.list(if &*first.0 == "w0" { "w1" } else { "w0" }, &[], &[]);
+        second = fleet.starts().pop();
+        if second.is_some() {
+            break;
+        }
+    }
+    let second = second.expect("a copy of the task, which is late");
+    fleet.reply_start(&second, Ok(1));
+    fleet.list(&first.0, &[], &[(2_001, &first.1, Outcome::Done)]);
+    fleet.list(&second.0, &[], &[(2_002, &second.1, Outcome::Done)]);
+    assert!(fleet.poll(&second.0).acked < 2_002);
+    fleet.store();
+    assert_eq!(fleet.poll(&second.0).acked, 2_002);
+}
