The last change of a record in a batch counts, be it a deletion or not

Callers would see tasks run twice (TWICE) or an accepted job unknown (LOST) after a change of leader.

Cause: a batch had the deletions behind the records. A worker that was retired or forgotten and came back before the batch was taken (an append was on its way, or the store slow) was deleted for good, while this leader took its record for durable and gave it tasks. If the store's list lacks the worker, too, the next leader doesn't wait for it and starts its tasks at once. The same held for a job submitted again when the deletion of its earlier records was waiting.

Change: deletions go first in a batch, and a deletion takes back the records gathered before it. Withdrawing a submission leaves the deletion of the earlier records in place.

Ruled out: taking the deletion back when a record is added: the earlier progress of a job submitted again has to go, and the deletion has to stay where the submission is withdrawn.

--- a/crates/lead/src/journal.rs
+++ b/crates/lead/src/journal.rs
@@ -47,8 +47,8 @@
     jobs: BTreeSet<Name>,
     progress: BTreeSet<Name>,
     workers: BTreeSet<Name>,
-    /// Keys to delete.
-    deletions: Vec<Name>,
+    /// Keys to delete. Records that were added later follow in the batch, and count.
+    deletions: BTreeSet<Name>,
     /// Whether the interference model is to be recorded.
     save_model: bool,
     /// Members of the cell to record.
@@ -99,13 +99,16 @@
 
     /// Deletes the record of a worker.
     pub(crate) fn delete_worker(&mut self, id: &Name) {
-        self.deletions.push(format!("{WORKER}{id}").into());
+        self.workers.remove(id);
+        self.deletions.insert(format!("{WORKER}{id}").into());
     }
 
     /// Deletes the records of a job.
     pub(crate) fn delete_job(&mut self, id: &Name) {
-        self.deletions.push(format!("{JOB}{id}").into());
-        self.deletions.push(format!("{PROGRESS}{id}").into());
+        self.jobs.remove(id);
+        self.progress.remove(id);
+        self.deletions.insert(format!("{JOB}{id}").into());
+        self.deletions.insert(format!("{PROGRESS}{id}").into());
     }
 }
 
@@ -146,6 +149,9 @@
     pub fn take_batch(&mut self) -> Option<Batch> {
         let journal = &mut self.journal;
         let mut batch = Batch { number: journal.next_batch, ..Batch::default() };
+        for key in std::mem::take(&mut journal.deletions) {
+            batch.records.push(Record { key, value: Vec::new() });
+        }
         for id in std::mem::take(&mut journal.jobs) {
             let Some(job) = self.jobs.get(&id) else { continue };
             batch.records.push(record(JOB, &id, &job.record()));
@@ -165,9 +171,6 @@
             };
             batch.records.push(record(WORKER, &id, &worker_record));
         }
-        for key in journal.deletions.drain(..) {
-            batch.records.push(Record { key, value: Vec::new() });
-        }
         if std::mem::take(&mut journal.save_model) {
             batch.records.push(record("", &MODEL.into(), &self.model));
         }
--- a/crates/lead/tests/handover.rs
+++ b/crates/lead/tests/handover.rs
@@ -3,11 +3,14 @@
 #[allow(dead_code)]
 mod fleet;
 
-use base::Size;
-use fleet::Fleet;
-use job::{Spec, Step};
+use base::{Millis, Size};
+use fleet::{Fleet, info};
+use job::{Spec, State, Step};
 use port::Outcome;
 
+/// Time for which a job can be queried after its end.
+const JOB_RETENTION: Millis = 600_000;
+
 fn step(count: u32) -> Step {
     let size = Size { cpu: 2_500, memory: 100, accel: 0 };
     Step { count, size, estimate: 1_000, ..Step::default() }
@@ -143,3 +146,81 @@
     fleet.store();
     assert_eq!(fleet.poll(&second.0).acked, 2_002);
 }
+
+/// Guards against workers and jobs that are missing for the next leader although this one believes
+/// their records durable: a deletion was appended after a record that had been added later.
+#[test]
+fn the_last_change_of_a_record_in_a_batch_counts() {
+    struct Case<'a> {
+        name: &'a str,
+        /// Changes that go with one batch.
+        changes: &'a [&'a dyn Fn(&mut Fleet)],
+        /// Whether the next leader knows worker w0, and the state of job "a" to it.
+        known: (bool, Option<State>),
+    }
+    let retire = |fleet: &mut Fleet| {
+        fleet.drain("w0");
+        fleet.commands();
+    };
+    let forget = |fleet: &mut Fleet| {
+        fleet.unlist("w0");
+        fleet.commands();
+    };
+    let meet = |fleet: &mut Fleet| fleet.record("w0", Some(info("w0")));
+    let expire = |fleet: &mut Fleet| {
+        fleet.advance(JOB_RETENTION + 1);
+        fleet.commands();
+    };
+    let submit = |fleet: &mut Fleet| {
+        fleet.submit("a", spec(vec![step(1)]));
+    };
+    let withdraw = |fleet: &mut Fleet| assert!(fleet.lead.withdraw(&"a".into()));
+    let done = Some(State::Completed);
+    let cases = [
+        Case { name: "retired", changes: &[&retire], known: (false, done) },
+        Case { name: "retired, back", changes: &[&retire, &meet], known: (true, done) },
+        Case {
+            name: "retired, back, retired again",
+            changes: &[&retire, &meet, &retire],
+            known: (false, done),
+        },
+        Case { name: "forgotten", changes: &[&forget], known: (false, done) },
+        Case { name: "forgotten, back", changes: &[&forget, &meet], known: (true, done) },
+        Case {
+            name: "forgotten, back, forgotten again",
+            changes: &[&forget, &meet, &forget],
+            known: (false, done),
+        },
+        Case { name: "a job after its time", changes: &[&expire], known: (true, None) },
+        Case {
+            name: "submitted again",
+            changes: &[&expire, &submit],
+            known: (true, Some(State::Queued)),
+        },
+        Case {
+            name: "submitted again, withdrawn",
+            changes: &[&expire, &submit, &withdraw],
+            known: (true, None),
+        },
+    ];
+    let mut wrong = Vec::new();
+    for case in cases {
+        let mut fleet = Fleet::open(2);
+        fleet.accept("a", spec(vec![step(1)]));
+        fleet.start_all();
+        fleet.finish_jobs();
+        fleet.store();
+        // The leases that earlier leaders and this one have granted have expired.
+        fleet.advance(20_000);
+        fleet.commands();
+        fleet.store();
+        case.changes.iter().for_each(|change| change(&mut fleet));
+        fleet.store();
+        fleet.take_over();
+        let known = (fleet.lead.workers.contains_key("w0"), fleet.lead.state("a"));
+        if known != case.known {
+            wrong.push((case.name, known));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
