Workers that may have unknown runs stay on record for the next leader

Callers would see tasks run twice (TWICE) after two changes of leader in a row, beside a cut.

Cause: 'retire' deleted the record of a draining worker that had no runs by this leader's count, also before the worker had listed its runs to it, or after a restart. 'forget' removed a worker that the store didn't list, without runs, as soon as all workers had listed, with an earlier leader still able to grant leases there (it counts no lease where it has granted none itself). If the worker was cut off with its runs, "all workers have listed" was true without it for the leader after that one, which started its tasks at once.

Change: neither happens before the leases that earlier leaders can have granted have expired (settle_deadline, 7.2 s after the takeover); 'retire' also asks for a list of the present life. 'forget' waits, as before, for the longest lease where the worker is known to have restarted.

Why it works: until then, a worker that has listed may restart unnoticed, forget the successor's fencing token and take starts from the earlier leader; later nothing of the earlier leader runs there.

Ruled out: retiring as soon as the worker has listed (the restart just described); waiting for the longest lease with all workers: a leader that changes twice in 13 s would wait for each worker that left in between. A draining worker that falls silent stays on record until the store no longer lists it.

The new test pins the times.

--- a/crates/lead/src/watch.rs
+++ b/crates/lead/src/watch.rs
@@ -18,7 +18,7 @@
             self.retry_stops(&id, now);
             self.expire(&id, now, unclaimed_at);
             self.record_long_leases(&id, now);
-            self.drain(&id);
+            self.drain(&id, now);
             self.forget(&id, now);
         }
     }
@@ -67,7 +67,7 @@
 
     /// Stops runs on a draining worker: service tasks at once, the others shortly before it
     /// leaves.
-    fn drain(&mut self, id: &Name) {
+    fn drain(&mut self, id: &Name, now: Now) {
         let Some(worker) = self.workers.get(id).filter(|worker| worker.info.draining) else {
             return;
         };
@@ -78,13 +78,16 @@
         for task in moves {
             self.stop(id, &task, "worker_draining");
         }
-        self.retire(id);
+        self.retire(id, now);
     }
 
-    /// Deletes the record of a draining worker that has no runs, so that the next leader does
-    /// not wait for it.
-    fn retire(&mut self, id: &Name) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
+    /// Deletes the record of a draining worker that has listed no runs, so that the next leader
+    /// does not wait for it. An earlier leader may start runs there if it restarts unnoticed.
+    fn retire(&mut self, id: &Name, now: Now) {
+        if self.settles_by_time(now) {
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(id).filter(|worker| worker.synced) else { return };
         if worker.runs.is_empty()
             && worker.unconfirmed_starts.is_empty()
             && worker.record_batch.take().is_some()
@@ -95,8 +98,12 @@
     }
 
     /// Removes a worker that the store does not list and that has no runs, valid leases or starts
-    /// in doubt.
+    /// in doubt. That it has listed its runs does not suffice: an earlier leader may start others
+    /// there if it restarts unnoticed.
     fn forget(&mut self, id: &Name, now: Now) {
+        if self.settles_by_time(now) {
+            return;
+        }
         let settled = self.settled(now);
         let Some(worker) = self.workers.get(id) else { return };
         let expired = worker.leases_end_at().is_none_or(|end| end < now.mono);
--- a/crates/lead/tests/fleet/mod.rs
+++ b/crates/lead/tests/fleet/mod.rs
@@ -317,6 +317,12 @@
         self.lead.on_worker_info(WorkerInfo { incarnation, ..worker_info(n) }, time);
     }
 
+    /// Delivers the record of a worker that has restarted as `incarnation` and is leaving.
+    pub(crate) fn restart_draining(&mut self, id: &str, incarnation: u64) {
+        let info = WorkerInfo { incarnation, draining: true, ..info(id) };
+        self.lead.on_worker_info(info, self.time());
+    }
+
     /// Restarts a worker: its record and then its list, without runs, name the next incarnation.
     pub(crate) fn crash(&mut self, id: &str) {
         self.advance(2_000);
--- a/crates/lead/tests/handover.rs
+++ b/crates/lead/tests/handover.rs
@@ -11,6 +11,9 @@
 /// Time for which a job can be queried after its end.
 const JOB_RETENTION: Millis = 600_000;
 
+/// Time after which all that earlier leaders have granted has expired, where no worker restarted.
+const SETTLED: Millis = 7_500;
+
 fn step(count: u32) -> Step {
     let size = Size { cpu: 2_500, memory: 100, accel: 0 };
     Step { count, size, estimate: 1_000, ..Step::default() }
@@ -224,3 +227,103 @@
     }
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
+
+/// Guards against workers with runs that are missing for the leader after next: one that does not
+/// know their runs yet took them out of the log.
+#[test]
+fn workers_whose_runs_may_be_unknown_stay_in_the_log() {
+    struct Case<'a> {
+        name: &'a str,
+        /// What the second leader learns before it is lost.
+        events: &'a dyn Fn(&mut Fleet),
+        /// Whether the third one knows worker w0.
+        known: bool,
+    }
+    let wait = |fleet: &mut Fleet, ms: Millis| {
+        for _ in 0..ms / 500 {
+            fleet.advance(460);
+            if fleet.lead.workers.contains_key("w0") {
+                fleet.fail_poll("w0");
+            }
+            fleet.commands();
+        }
+    };
+    let cases = [
+        Case { name: "drains, not listed", events: &|fleet| fleet.drain("w0"), known: true },
+        Case {
+            name: "drains, restarted since it has listed",
+            events: &|fleet| {
+                fleet.meet_all();
+                fleet.advance(SETTLED);
+                fleet.restart_draining("w0", 2);
+            },
+            known: true,
+        },
+        Case {
+            name: "drains, listed while an earlier leader may act",
+            events: &|fleet| {
+                fleet.meet_all();
+                fleet.drain("w0");
+            },
+            known: true,
+        },
+        Case {
+            name: "drains, listed once no earlier leader may act",
+            events: &|fleet| {
+                fleet.advance(SETTLED);
+                fleet.meet_all();
+                fleet.drain("w0");
+            },
+            known: false,
+        },
+        Case {
+            name: "unlisted at once",
+            events: &|fleet| {
+                fleet.meet_all();
+                fleet.unlist("w0");
+            },
+            known: true,
+        },
+        Case {
+            name: "unlisted and silent while leases of an earlier leader may be valid",
+            events: &|fleet| {
+                fleet.meet_all();
+                fleet.unlist("w0");
+                wait(fleet, 6_000);
+            },
+            known: true,
+        },
+        Case {
+            name: "unlisted and silent until they have expired",
+            events: &|fleet| {
+                fleet.meet_all();
+                fleet.unlist("w0");
+                wait(fleet, SETTLED);
+            },
+            known: false,
+        },
+        Case {
+            name: "unlisted after a restart, while the longest lease may be valid",
+            events: &|fleet| {
+                fleet.meet_all();
+                fleet.restart("w0", 2);
+                fleet.unlist("w0");
+                wait(fleet, SETTLED);
+            },
+            known: true,
+        },
+    ];
+    let mut wrong = Vec::new();
+    for case in cases {
+        let mut fleet = Fleet::open(2);
+        fleet.take_over();
+        (case.events)(&mut fleet);
+        fleet.commands();
+        fleet.store();
+        fleet.take_over();
+        if fleet.lead.workers.contains_key("w0") != case.known {
+            wrong.push(case.name);
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
