--- /dev/null
+++ b/crates/lead/tests/handover.rs
@@ -0,0 +1,329 @@
+//! What a leader leaves to the next one, which knows only what is durable.
+
+#[allow(dead_code)]
+mod fleet;
+
+use base::{Millis, Size};
+use fleet::{Fleet, info};
+use job::{Spec, State, Step};
+use port::Outcome;
+
+/// Time for which a job can be queried after its end.
+const JOB_RETENTION: Millis = 600_000;
+
+/// Time after which all that earlier leaders have granted has expired, where no worker restarted.
+const SETTLED: Millis = 7_500;
+
+fn step(count: u32) -> Step {
+    let size = Size { cpu: 2_500, memory: 100, accel: 0 };
+    Step { count, size, estimate: 1_000, ..Step::default() }
+}
+
+fn spec(steps: Vec<Step>) -> Spec {
+    Spec { text: "t".into(), steps, repeat: None }
+}
+
+/// Guards against ends that are acknowledged while what makes them superfluous is in memory only:
+/// the next leader knows of no end and starts the task again.
+#[test]
+fn ends_that_change_nothing_wait_for_earlier_changes_of_their_job() {
+    struct Case {
+        name: &'static str,
+        steps: Vec<Step>,
+        /// End of the first run, which is not durable, and of the second one.
+        ends: [Outcome; 2],
+        /// Whether the job is cancelled before the ends; the cancelling is not durable.
+        cancelled: bool,
+    }
+    let lasting = Step { long_running: true, ..step(1) };
+    let gang = Step { gang: true, ..step(2) };
+    let cases = [
+        Case {
+            name: "a gang that one member completed, and its job",
+            steps: vec![gang.clone()],
+            ends: [Outcome::Done, Outcome::Done],
+            cancelled: false,
+        },
+        Case {
+            name: "a gang that one member completed",
+            steps: vec![gang.clone(), Step { depends_on: vec![0], ..step(1) }],
+            ends: [Outcome::Done, Outcome::Done],
+            cancelled: false,
+        },
+        Case {
+            name: "a member that fails after the gang was done",
+            steps: vec![gang.clone(), Step { depends_on: vec![0], ..step(1) }],
+            ends: [Outcome::Done, Outcome::Failed],
+            cancelled: false,
+        },
+        Case {
+            name: "done in a job that has failed",
+            steps: vec![step(2)],
+            ends: [Outcome::Failed, Outcome::Done],
+            cancelled: false,
+        },
+        Case {
+            name: "failed in a job that has failed",
+            steps: vec![step(2)],
+            ends: [Outcome::Failed, Outcome::Failed],
+            cancelled: false,
+        },
+        Case {
+            name: "stopped in a job that has failed",
+            steps: vec![step(2)],
+            ends: [Outcome::Failed, Outcome::Stopped],
+            cancelled: false,
+        },
+        Case {
+            name: "a lasting task of a job that has failed",
+            steps: vec![step(1), lasting.clone()],
+            ends: [Outcome::Failed, Outcome::Stopped],
+            cancelled: false,
+        },
+        Case {
+            name: "a lasting task of a job that is being cancelled",
+            steps: vec![step(1), lasting],
+            ends: [Outcome::Stopped, Outcome::Done],
+            cancelled: true,
+        },
+        Case {
+            name: "a gang of a job that is being cancelled",
+            steps: vec![gang],
+            ends: [Outcome::Done, Outcome::Done],
+            cancelled: true,
+        },
+    ];
+    let mut early = Vec::new();
+    for case in cases {
+        for in_flight in [false, true] {
+            let name = format!("{}, in flight: {in_flight}", case.name);
+            let mut fleet = Fleet::open(3);
+            fleet.accept_once("a", spec(case.steps.clone()));
+            let starts = fleet.starts();
+            assert_eq!(starts.len(), 2, "{name}");
+            starts.iter().for_each(|sent| fleet.reply_start(sent, Ok(1)));
+            if case.cancelled {
+                fleet.request_cancel("a");
+            }
+            fleet.list(&starts[0].0, &[], &[(1, &starts[0].1, case.ends[0])]);
+            let batch = if in_flight { fleet.lead.take_batch() } else { None };
+            fleet.list(&starts[1].0, &[], &[(1, &starts[1].1, case.ends[1])]);
+            if fleet.poll(&starts[1].0).acked > 0 {
+                early.push(name.clone());
+            }
+            batch.iter().for_each(|batch| fleet.append(batch));
+            fleet.store();
+            assert_eq!(fleet.poll(&starts[1].0).acked, 1, "{name}: durable");
+        }
+    }
+    assert!(early.is_empty(), "acknowledged too early: {early:#?}");
+}
+
+/// Guards against a second copy's end that is acknowledged before the first one's is durable.
+#[test]
+fn the_end_of_a_second_copy_waits_for_that_of_the_first() {
+    let mut fleet = Fleet::open(2);
+    fleet.accept("typical", spec(vec![step(1)]));
+    fleet.start_all();
+    fleet.advance(200);
+    fleet.finish_jobs();
+    fleet.store();
+    fleet.accept("a", spec(vec![Step { speculative: true, ..step(1) }]));
+    let first = fleet.starts().remove(0);
+    fleet.reply_start(&first, Ok(1));
+    let mut second = None;
+    for _ in 0..200 {
+        fleet.advance(60);
+        fleet.list_at(&first.0, &first.1, 10);
+        fleet.list(if &*first.0 == "w0" { "w1" } else { "w0" }, &[], &[]);
+        second = fleet.starts().pop();
+        if second.is_some() {
+            break;
+        }
+    }
+    let second = second.expect("a copy of the task, which is late");
+    fleet.reply_start(&second, Ok(1));
+    fleet.list(&first.0, &[], &[(2_001, &first.1, Outcome::Done)]);
+    fleet.list(&second.0, &[], &[(2_002, &second.1, Outcome::Done)]);
+    assert!(fleet.poll(&second.0).acked < 2_002);
+    fleet.store();
+    assert_eq!(fleet.poll(&second.0).acked, 2_002);
+}
+
+/// Guards against workers and jobs that are missing for the next leader although this one believes
+/// their records durable: a deletion was appended after a record that had been added later.
+#[test]
+fn the_last_change_of_a_record_in_a_batch_counts() {
+    struct Case<'a> {
+        name: &'a str,
+        /// Changes that go with one batch.
+        changes: &'a [&'a dyn Fn(&mut Fleet)],
+        /// Whether the next leader knows worker w0, and the state of job "a" to it.
+        known: (bool, Option<State>),
+    }
+    let retire = |fleet: &mut Fleet| {
+        fleet.drain("w0");
+        fleet.commands();
+    };
+    let forget = |fleet: &mut Fleet| {
+        fleet.unlist("w0");
+        fleet.commands();
+    };
+    let meet = |fleet: &mut Fleet| fleet.record("w0", Some(info("w0")));
+    let expire = |fleet: &mut Fleet| {
+        fleet.advance(JOB_RETENTION + 1);
+        fleet.commands();
+    };
+    let submit = |fleet: &mut Fleet| {
+        fleet.submit("a", spec(vec![step(1)]));
+    };
+    let withdraw = |fleet: &mut Fleet| assert!(fleet.lead.withdraw(&"a".into()));
+    let done = Some(State::Completed);
+    let cases = [
+        Case { name: "retired", changes: &[&retire], known: (false, done) },
+        Case { name: "retired, back", changes: &[&retire, &meet], known: (true, done) },
+        Case {
+            name: "retired, back, retired again",
+            changes: &[&retire, &meet, &retire],
+            known: (false, done),
+        },
+        Case { name: "forgotten", changes: &[&forget], known: (false, done) },
+        Case { name: "forgotten, back", changes: &[&forget, &meet], known: (true, done) },
+        Case {
+            name: "forgotten, back, forgotten again",
+            changes: &[&forget, &meet, &forget],
+            known: (false, done),
+        },
+        Case { name: "a job after its time", changes: &[&expire], known: (true, None) },
+        Case {
+            name: "submitted again",
+            changes: &[&expire, &submit],
+            known: (true, Some(State::Queued)),
+        },
+        Case {
+            name: "submitted again, withdrawn",
+            changes: &[&expire, &submit, &withdraw],
+            known: (true, None),
+        },
+    ];
+    let mut wrong = Vec::new();
+    for case in cases {
+        let mut fleet = Fleet::open(2);
+        fleet.accept("a", spec(vec![step(1)]));
+        fleet.start_all();
+        fleet.finish_jobs();
+        fleet.store();
+        // The leases that earlier leaders and this one have granted have expired.
+        fleet.advance(20_000);
+        fleet.commands();
+        fleet.store();
+        case.changes.iter().for_each(|change| change(&mut fleet));
+        fleet.store();
+        fleet.take_over();
+        let known = (fleet.lead.workers.contains_key("w0"), fleet.lead.state("a"));
+        if known != case.known {
+            wrong.push((case.name, known));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
+/// Guards against workers with runs that are missing for the leader after next: one that does not
+/// know their runs yet took them out of the log.
+#[test]
+fn workers_whose_runs_may_be_unknown_stay_in_the_log() {
+    struct Case<'a> {
+        name: &'a str,
+        /// What the second leader learns before it is lost.
+        events: &'a dyn Fn(&mut Fleet),
+        /// Whether the third one knows worker w0.
+        known: bool,
+    }
+    let wait = |fleet: &mut Fleet, ms: Millis| {
+        for _ in 0..ms / 500 {
+            fleet.advance(460);
+            if fleet.lead.workers.contains_key("w0") {
+                fleet.fail_poll("w0");
+            }
+            fleet.commands();
+        }
+    };
+    let cases = [
+        Case { name: "drains, not listed", events: &|fleet| fleet.drain("w0"), known: true },
+        Case {
+            name: "drains, restarted since it has listed",
+            events: &|fleet| {
+                fleet.meet_all();
+                fleet.advance(SETTLED);
+                fleet.restart_draining("w0", 2);
+            },
+            known: true,
+        },
+        Case {
+            name: "drains, listed while an earlier leader may act",
+            events: &|fleet| {
+                fleet.meet_all();
+                fleet.drain("w0");
+            },
+            known: true,
+        },
+        Case {
+            name: "drains, listed once no earlier leader may act",
+            events: &|fleet| {
+                fleet.advance(SETTLED);
+                fleet.meet_all();
+                fleet.drain("w0");
+            },
+            known: false,
+        },
+        Case {
+            name: "unlisted at once",
+            events: &|fleet| {
+                fleet.meet_all();
+                fleet.unlist("w0");
+            },
+            known: true,
+        },
+        Case {
+            name: "unlisted and silent while leases of an earlier leader may be valid",
+            events: &|fleet| {
+                fleet.meet_all();
+                fleet.unlist("w0");
+                wait(fleet, 6_000);
+            },
+            known: true,
+        },
+        Case {
+            name: "unlisted and silent until they have expired",
+            events: &|fleet| {
+                fleet.meet_all();
+                fleet.unlist("w0");
+                wait(fleet, SETTLED);
+            },
+            known: false,
+        },
+        Case {
+            name: "unlisted after a restart, while the longest lease may be valid",
+            events: &|fleet| {
+                fleet.meet_all();
+                fleet.restart("w0", 2);
+                fleet.unlist("w0");
+                wait(fleet, SETTLED);
+            },
+            known: true,
+        },
+    ];
+    let mut wrong = Vec::new();
+    for case in cases {
+        let mut fleet = Fleet::open(2);
+        fleet.take_over();
+        (case.events)(&mut fleet);
+        fleet.commands();
+        fleet.store();
+        fleet.take_over();
+        if fleet.lead.workers.contains_key("w0") != case.known {
+            wrong.push(case.name);
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
