Evidence that came through a relay counts from its receipt

Callers would see: a task in two places at once. (a) A start that a relay has confirmed is dropped by a list that the leader had requested before, and the task starts elsewhere. (b) The leases of a silent worker count as expired before they are, by up to the transit of the relay's first orders.

Cause: a relay dated replies and readings of worker clocks by the leader's time, early by the transit of its first orders. A confirmation that seems older than it is looks older than a list that lacks the run; a reading that seems older lets the worker clock seem further on.

Change: reports have no times of receipt any more; the leader dates replies and lists by the receipt of the report. Only the time at which a poll was sent travels, and stays early. Leases that a lost relay may have granted end by the leader's clock alone: computed on an estimate of the worker clock that is now late, and compared with a later, exact reading, they would have ended too early ('a list comes late, and the relay is lost'). Applying a report moved from node to lead, so that tests of lead go the whole way.

Which side each use errs on now: - confirmed_at (drop_unlisted): late; a list must have been requested after it. The run stays for one list more at the most. - clock, leases_end_at, clock_now: the worker clock is estimated too low; leases end late, deadlines are shorter, by the delay of the report (under 0.7 s, or the relay is given up). - is_behind, is_ahead: a reading that came late may seem behind, or the next one ahead, by that delay; 1.4 s are tolerated, beyond that a doubt (safe). - sent_at: early. drop_unlisted and doubted_at > sent: a list counts as older than it is. unanswered_at: a worker seems silent later, its runs are kept. - doubted_at, restarted_at, unconfirmed_starts: late; doubts last longer, more runs count as started before the restart, starts in doubt are kept longer. A stop's confirmation from before a restart may seem to be from after it (kept_over_restart), as with a direct reply on its way; by up to the delay of the report. - replied_at: late; MAX_RENEW_SILENCE and MAX_SILENCE last longer by the delay, which costs time only: a renewal is counted when it is sent. - run times and stragglers: differences of two receipts, off by the difference of the delays. - probation after crashes: on the worker clock, not concerned.

Ruled out: taking the first orders' transit off by the leader's own round trip (late in turn where the reply is slow); a margin on each comparison (the transit is bounded by the timeout of orders only).

Tests: reply_start_early goes through relay::Dispatcher and relay::Relay with first orders that take 300 ms. The test of report times has lost received_at, which no longer exists, and asks for the exact time of sending at three transits in place of a bound at one. The case 'seem to come early' of the acknowledgements is the same with the present reason in its name.

--- a/crates/lead/src/commands.rs
+++ b/crates/lead/src/commands.rs
@@ -1,6 +1,7 @@
 use base::{Millis, Name, Now, event};
 use job::TaskId;
-use port::{Refusal, Stop, WorkerError};
+use port::{Refusal, Stop, WorkerAddr, WorkerError};
+use relay::WorkerCommand;
 
 use crate::{Command, Lead, RunState};
 
@@ -24,6 +25,29 @@
         self.commands.push(Command::Stop(addr, stop));
     }
 
+    /// Handles the reply to a command that a relay has carried.
+    pub fn on_command_reply(
+        &mut self,
+        worker: &WorkerAddr,
+        command: &WorkerCommand,
+        reply: Result<Millis, WorkerError>,
+        now: Now,
+    ) {
+        match command {
+            WorkerCommand::Start(start) => {
+                metrics::counter!("starts").increment(1);
+                self.on_start(&worker.id, &start.task, start.run, reply, now);
+            }
+            WorkerCommand::Stop(stop) => {
+                metrics::counter!("stops").increment(1);
+                self.on_stop(&worker.id, &stop.task, stop.run, reply, now);
+            }
+            WorkerCommand::Throttle(throttle) => {
+                self.on_throttle(&worker.id, &throttle.task, reply, now);
+            }
+        }
+    }
+
     /// Handles the reply to a start command.
     pub fn on_start(
         &mut self,
--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -3,9 +3,9 @@
 use base::{Millis, Name, Now, event};
 use job::TaskId;
 use port::{Item, Poll, PollReply, Refusal, RunStatus, WorkerAddr, WorkerError, WorkerInfo};
-use relay::{PollTimes, RelayedWorker};
+use relay::{PollTimes, Received, RelayedWorker};
 
-use crate::{Command, Lead, Run, RunState, Worker};
+use crate::{Command, Lead, Run, RunState, Worker, worker::expiry};
 
 /// Longest time for which a worker delays its reply while no run completes.
 const LIST_WAIT: Millis = 1_000;
@@ -14,7 +14,7 @@
 /// [`LIST_WAIT`] of a worker with service and best-effort tasks, whose latencies have to be
 /// measured more often.
 const MIXED_LIST_WAIT: Millis = 400;
-/// Amount by which a relay's estimate of a worker clock may be ahead of the leader's.
+/// Amount by which a relay's estimate of a worker clock may be ahead of that clock.
 const RELAY_CLOCK_MARGIN: Millis = 250;
 /// Amount by which a worker's start may seem to be in the future, since clocks differ.
 const MAX_CLOCK_DIFFERENCE: Millis = 3_600_000;
@@ -167,11 +167,23 @@
         let lease = self.bounds.lease + RELAY_CLOCK_MARGIN;
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.renewed_by_relay = false;
-        let latest = worker.clock_now(granted_until).map_or(0, |clock| clock + lease);
-        worker.lease_expiry = worker.lease_expiry.max(latest);
+        if granted_until > 0 {
+            worker.relay_leases_end = worker.relay_leases_end.max(granted_until + expiry(lease));
+        }
         self.doubt(id, now);
     }
 
+    /// Handles a report of a relay, received at `now`. What it says of workers counts from then:
+    /// a list shows that a run is gone only if it was requested after the run was confirmed.
+    pub fn on_report(&mut self, received: Received, now: Now) {
+        for (worker, command, reply) in received.replies {
+            self.on_command_reply(&worker, &command, reply, now);
+        }
+        for (poll, reply) in received.polls {
+            self.on_relayed_poll(&poll, reply, now);
+        }
+    }
+
     /// Handles the result of a relay's poll.
     pub fn on_relayed_poll(
         &mut self,
@@ -185,8 +197,7 @@
         // A worker that replies gets a permission at once, if its relay has none.
         worker.renewed_by_relay = poll.renews || reply.is_ok();
         self.touched.insert(poll.worker.clone());
-        let received = Now { mono: poll.received_at, ..now };
-        self.on_poll(&poll.worker, poll.sent_at, reply, received);
+        self.on_poll(&poll.worker, poll.sent_at, reply, now);
     }
 
     /// Returns whether completions of a worker still have to become durable. Until then, the
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -63,6 +63,9 @@
     pub(crate) restarted_at: Millis,
     /// Whether a relay may be renewing its leases, so that `lease_expiry` may be outdated.
     pub(crate) renewed_by_relay: bool,
+    /// When the leases that a lost relay may have granted have certainly expired; 0 if it can't
+    /// have granted any.
+    pub(crate) relay_leases_end: Millis,
     /// Start commands without a reply, with run id and time. They may still reach a
     /// later incarnation of the worker, which knows nothing of earlier stop commands.
     pub unconfirmed_starts: Vec<(TaskId, u64, Millis)>,
@@ -135,6 +138,7 @@
             long_leases: false,
             restarted_at: 0,
             renewed_by_relay: false,
+            relay_leases_end: 0,
             unconfirmed_starts: Vec::new(),
             last_completion: 0,
             pending_acks: VecDeque::new(),
@@ -214,8 +218,8 @@
     pub fn leases_end_at(&self) -> Option<Millis> {
         let clock = self.clock.filter(|_| self.lease_expiry > 0);
         let granted = clock.map(|(clock, at)| at + expiry(self.lease_expiry.saturating_sub(clock)));
-        let earlier = Some(self.earlier_leases_end).filter(|end| *end > 0);
-        granted.max(earlier)
+        let others = self.earlier_leases_end.max(self.relay_leases_end);
+        granted.max(Some(others).filter(|end| *end > 0))
     }
 
     /// Records a lease expiry that a relay has sent. One that lies beyond the longest lease was
--- a/crates/lead/tests/fleet/mod.rs
+++ b/crates/lead/tests/fleet/mod.rs
@@ -1,5 +1,7 @@
 //! A leader with simulated workers whose replies are given by the test.
 
+pub(crate) mod link;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
@@ -14,6 +16,8 @@
 };
 use relay::PollTimes;
 
+use self::link::Link;
+
 /// Time at which a fleet opens.
 pub(crate) const NOW: Now = Now { mono: 100_000, unix: 1_796_000_000_000 };
 
@@ -185,10 +189,10 @@
         self.lead.on_start(&sent.0, &sent.1.task, sent.1.run, Ok(clock), time);
     }
 
-    /// Confirms a start through a relay whose times are early by `early`.
+    /// Confirms a start through a relay whose times are early by `early`, since its first orders
+    /// took as long to arrive.
     pub(crate) fn reply_start_early(&mut self, sent: &Sent, early: Millis) {
-        let time = Now { mono: self.now - early, ..self.time() };
-        self.lead.on_start(&sent.0, &sent.1.task, sent.1.run, Ok(self.now), time);
+        Link::open(self, &sent.0, early).start(self, sent);
     }
 
     /// Confirms a stop with a reading of the worker clock.
@@ -418,7 +422,7 @@
     pub(crate) fn fail_relayed_poll(&mut self, id: &str, deadline: Millis) {
         let (worker, at) = (Name::from(id), self.now);
         let deadline = Some(deadline);
-        let times = PollTimes { worker, sent_at: at, received_at: at, deadline, renews: false };
+        let times = PollTimes { worker, sent_at: at, deadline, renews: false };
         let fault = WorkerError::InDoubt("timeout".into());
         self.lead.on_relayed_poll(&times, Err(fault), self.time());
     }
--- a/crates/lead/tests/restart.rs
+++ b/crates/lead/tests/restart.rs
@@ -3,8 +3,8 @@
 #[allow(dead_code)]
 mod fleet;
 
-use base::Size;
-use fleet::{Fleet, NOW, Sent, info};
+use base::{Millis, Size};
+use fleet::{Fleet, NOW, Sent, info, link::Link};
 use job::{Spec, Step};
 use port::{Outcome, Refusal, WorkerError, WorkerInfo};
 
@@ -171,7 +171,7 @@
             acked: 7,
         },
         Case {
-            name: "its replies through a relay seem to come early",
+            name: "its replies through a relay come late",
             event: |fleet, sent| fleet.reply_start_at(sent, fleet.now() - 600),
             acked: 7,
         },
@@ -451,3 +451,73 @@
     fleet.list_since(&sent.0, polled_at, 1, &[]);
     assert!(fleet.starts().is_empty(), "the list was requested before the start was confirmed");
 }
+
+/// Guards against two runs of a task: the end of its lease was computed from a reading of the
+/// worker clock that had come through a relay, and was early by the error of that reading's time.
+#[test]
+fn a_lease_is_not_taken_as_expired_early_for_a_reading_through_a_relay() {
+    struct Case {
+        name: &'static str,
+        /// Time that the relay's first orders took to arrive.
+        transit: Millis,
+        /// What happens until the worker is silent for good. Returns the last lease expiry that
+        /// it was sent, on its clock, which shows the leader's time.
+        events: fn(&mut Fleet, &mut Link, &Sent) -> Millis,
+    }
+    let silence = |fleet: &mut Fleet, link: &mut Link, sent: &Sent| {
+        link.list(fleet, &sent.1);
+        link.exchange(fleet);
+        let deadline = link.fail(fleet).deadline.expect("the relay renews");
+        let silent_at = fleet.now();
+        while fleet.now() < silent_at + 2_000 {
+            fleet.advance(200);
+            assert_eq!(link.fail(fleet).deadline, None);
+            link.exchange(fleet);
+        }
+        deadline
+    };
+    // A report is held up with the list that follows. The relay is lost, and goes on renewing
+    // within its permission; the worker replies to the leader once.
+    let loss = |fleet: &mut Fleet, link: &mut Link, sent: &Sent| {
+        link.list(fleet, &sent.1);
+        let report = link.take_report(fleet);
+        link.list(fleet, &sent.1);
+        fleet.advance(600);
+        link.deliver(fleet, report);
+        link.exchange(fleet);
+        let lost_at = fleet.now();
+        link.close(fleet);
+        fleet.list(&sent.0, &[(&sent.1, 0)], &[]);
+        let mut last = 0;
+        while let Some(deadline) = link.list(fleet, &sent.1).deadline {
+            last = deadline;
+            fleet.advance(50);
+        }
+        assert!(fleet.now() > lost_at + 1_400, "the relay renews within its permission");
+        fleet.advance(200);
+        last
+    };
+    let cases = [
+        Case { name: "the first orders come at once", transit: 0, events: silence },
+        Case { name: "the first orders take long", transit: 600, events: silence },
+        Case { name: "a list comes late, and the relay is lost", transit: 0, events: loss },
+    ];
+    for case in cases {
+        let (mut fleet, sent) = fleet_with_run();
+        let other = if &*sent.0 == "w0" { "w1" } else { "w0" };
+        let mut link = Link::open(&mut fleet, &sent.0, case.transit);
+        let silent_at = fleet.now();
+        let deadline = (case.events)(&mut fleet, &mut link, &sent);
+        let mut started = None;
+        while started.is_none() && fleet.now() < silent_at + 20_000 {
+            fleet.advance(20);
+            fleet.list(other, &[], &[]);
+            fleet.fail_poll(&sent.0);
+            started = (!fleet.starts().is_empty()).then(|| fleet.now());
+        }
+        let started = started.unwrap_or_else(|| panic!("{}: never started again", case.name));
+        let late = started as i64 - deadline as i64;
+        // A clock that runs 2 % slow shows the expiry later.
+        assert!((100..1_000).contains(&late), "{}: {late} ms after the expiry", case.name);
+    }
+}
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -6,9 +6,9 @@
 use async_std::task::{sleep, spawn_local};
 use base::{Millis, Name, Now, now};
 use elect::{Election, Heartbeat, Vm};
-use lead::{Command, Lead};
+use lead::Command;
 use port::{WorkerAddr, WorkerError};
-use relay::{Closed, Dispatcher, Helper, Orders, Received, Report, ReportReply, WorkerCommand};
+use relay::{Closed, Dispatcher, Helper, Orders, Report, ReportReply, WorkerCommand};
 use wire::Method;
 
 use crate::{
@@ -200,7 +200,7 @@
         }
         for (worker, command) in closed.in_doubt {
             let lost = Err(WorkerError::InDoubt("the relay was lost".to_owned()));
-            apply_reply(lead, &worker, &command, lost, time);
+            lead.on_command_reply(&worker, &command, lost, time);
         }
     }
     for (worker, command) in closed.unsent {
@@ -223,40 +223,9 @@
         let Shared { lead, dispatcher, .. } = &mut *shared;
         let (Some(lead), Some(dispatcher)) = (lead, dispatcher) else { return ReportReply::Closed };
         let (received, reply) = dispatcher.on_report(report, valid_for.min(MAX_GRANT), time.mono);
-        apply_report(lead, received, time);
+        lead.on_report(received, time);
         reply
     };
     node.decide_wakeup.notify();
     reply
 }
-
-fn apply_report(lead: &mut Lead, received: Received, time: Now) {
-    for (worker, command, at, reply) in received.replies {
-        apply_reply(lead, &worker, &command, reply, Now { mono: at, ..time });
-    }
-    for (poll, reply) in received.polls {
-        lead.on_relayed_poll(&poll, reply, time);
-    }
-}
-
-fn apply_reply(
-    lead: &mut Lead,
-    worker: &WorkerAddr,
-    command: &WorkerCommand,
-    reply: Result<Millis, WorkerError>,
-    time: Now,
-) {
-    match command {
-        WorkerCommand::Start(start) => {
-            metrics::counter!("starts").increment(1);
-            lead.on_start(&worker.id, &start.task, start.run, reply, time);
-        }
-        WorkerCommand::Stop(stop) => {
-            metrics::counter!("stops").increment(1);
-            lead.on_stop(&worker.id, &stop.task, stop.run, reply, time);
-        }
-        WorkerCommand::Throttle(throttle) => {
-            lead.on_throttle(&worker.id, &throttle.task, reply, time);
-        }
-    }
-}
--- a/crates/node/src/relaying.rs
+++ b/crates/node/src/relaying.rs
@@ -61,7 +61,7 @@
         WorkerCommand::Stop(stop) => (workers.stop)((worker, stop)).await,
         WorkerCommand::Throttle(throttle) => (workers.throttle)((worker, throttle)).await,
     };
-    node.shared.borrow_mut().relay.on_reply(session, number, reply, now().mono);
+    node.shared.borrow_mut().relay.on_reply(session, number, reply);
     node.report_wakeup.notify();
 }
 
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -82,8 +82,8 @@
 pub struct Received {
     /// Workers that are polled by the relay from now on.
     pub opened: Vec<Name>,
-    /// Replies to commands, with the time of their receipt.
-    pub replies: Vec<(WorkerAddr, WorkerCommand, Millis, Result<Millis, WorkerError>)>,
+    /// Replies to commands.
+    pub replies: Vec<(WorkerAddr, WorkerCommand, Result<Millis, WorkerError>)>,
     /// Results of polls, with the worker's whole list.
     pub polls: Vec<(PollTimes, Result<PollReply, WorkerError>)>,
 }
@@ -93,10 +93,8 @@
 pub struct PollTimes {
     /// The worker.
     pub worker: Name,
-    /// When the poll was sent.
+    /// When the poll was sent, or somewhat earlier.
     pub sent_at: Millis,
-    /// When the reply was received.
-    pub received_at: Millis,
     /// Lease expiry that the poll set, on the worker's clock.
     pub deadline: Option<Millis>,
     /// Whether the relay may go on renewing the worker's leases.
@@ -336,13 +334,12 @@
     }
 
     fn receive(&mut self, report: Report, received: &mut Received) {
-        for (number, at, reply) in report.replies {
+        for (number, reply) in report.replies {
             if let Some((worker, command)) = self.in_flight.remove(&number) {
-                received.replies.push((worker, command, at, reply));
+                received.replies.push((worker, command, reply));
             }
         }
-        for PollResult { worker, sent_at, received_at, deadline, given_up, result } in report.polls
-        {
+        for PollResult { worker, sent_at, deadline, given_up, result } in report.polls {
             let Some(mirror) = self.workers.get_mut(&worker) else { continue };
             let renews = mirror.update_permission(given_up);
             if result.is_ok() && !renews {
@@ -355,7 +352,7 @@
                 },
                 Err(e) => Err(e),
             };
-            let times = PollTimes { worker, sent_at, received_at, deadline, renews };
+            let times = PollTimes { worker, sent_at, deadline, renews };
             received.polls.push((times, result));
         }
     }
--- a/crates/relay/src/msg.rs
+++ b/crates/relay/src/msg.rs
@@ -57,8 +57,8 @@
     pub commands: Vec<(u64, WorkerAddr, WorkerCommand)>,
 }
 
-/// What a relay tells the leader. Times are on the leader's clock, or somewhat earlier, by
-/// an amount that is constant within a session.
+/// What a relay tells the leader. It has no times of receipt: the leader counts replies and lists
+/// from the receipt of the report.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// Epoch of the leader that it is meant for.
@@ -68,8 +68,8 @@
     /// Number of the report within the session, from 1. A report without a reply is sent again
     /// under its number.
     pub number: u64,
-    /// Replies to commands: number, time of receipt, reply.
-    pub replies: Vec<(u64, Millis, Result<Millis, WorkerError>)>,
+    /// Replies to commands, with their numbers.
+    pub replies: Vec<(u64, Result<Millis, WorkerError>)>,
     /// Results of polls, in the order of their receipt.
     pub polls: Vec<PollResult>,
 }
@@ -79,10 +79,9 @@
 pub struct PollResult {
     /// The worker.
     pub worker: Name,
-    /// When the poll was sent.
+    /// When the poll was sent, on the leader's clock or somewhat earlier: by the time that the
+    /// session's first orders took to arrive.
     pub sent_at: Millis,
-    /// When the reply was received, or the poll was given up.
-    pub received_at: Millis,
     /// Lease expiry that the poll set, on the worker's clock.
     pub deadline: Option<Millis>,
     /// Newest permission to renew the worker's leases that the relay has given up, since the
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -39,7 +39,7 @@
     /// Until when leases may be renewed.
     valid_until: Millis,
     workers: BTreeMap<Name, AssignedWorker>,
-    replies: Vec<(u64, Millis, Result<Millis, WorkerError>)>,
+    replies: Vec<(u64, Result<Millis, WorkerError>)>,
     polls: Vec<PollResult>,
     /// Report that has no reply yet.
     unconfirmed: Option<Report>,
@@ -137,7 +137,7 @@
         now: Millis,
     ) {
         let Some(session) = self.current(session) else { return };
-        let (sent_at, received_at) = (session.leader_time(sent), session.leader_time(now));
+        let sent_at = session.leader_time(sent);
         let Some(worker) = session.workers.get_mut(id) else { return };
         let result = reply.map(|reply| {
             worker.on_reply(&reply, sent, now);
@@ -152,21 +152,14 @@
             worker.given_up = worker.permission;
         }
         let (worker, given_up) = (id.clone(), worker.given_up);
-        let poll = PollResult { worker, sent_at, received_at, deadline, given_up, result };
+        let poll = PollResult { worker, sent_at, deadline, given_up, result };
         session.polls.push(poll);
     }
 
     /// Handles the reply to a command.
-    pub fn on_reply(
-        &mut self,
-        session: u64,
-        number: u64,
-        reply: Result<Millis, WorkerError>,
-        now: Millis,
-    ) {
+    pub fn on_reply(&mut self, session: u64, number: u64, reply: Result<Millis, WorkerError>) {
         let Some(session) = self.current(session) else { return };
-        let received_at = session.leader_time(now);
-        session.replies.push((number, received_at, reply));
+        session.replies.push((number, reply));
     }
 
     /// Returns whether completions of a worker have been reported that are not durable yet.
@@ -301,10 +294,9 @@
             return commands;
         }
         event!("commands_outdated", commands = commands.len(), epoch = self.epoch);
-        let at = self.leader_time(now);
         for (number, ..) in commands {
             let reply = Err(WorkerError::Unsent("outdated on arrival at the relay".to_owned()));
-            self.replies.push((number, at, reply));
+            self.replies.push((number, reply));
         }
         Vec::new()
     }
--- a/crates/relay/tests/sessions.rs
+++ b/crates/relay/tests/sessions.rs
@@ -66,6 +66,11 @@
 
     /// The same with a worker as the leader knows it.
     fn open_with(worker: RelayedWorker) -> Pair {
+        Pair::open_after(worker, 0)
+    }
+
+    /// The same with first orders that take `transit` to arrive.
+    fn open_after(worker: RelayedWorker, transit: Millis) -> Pair {
         let mut pair = Pair {
             now: 1_000,
             dispatcher: Dispatcher::new("leader".into(), EPOCH, LEASE),
@@ -75,6 +80,7 @@
         pair.dispatcher.assign(&"vm".into(), vec![worker], pair.now);
         pair.session = pair.dispatcher.ready()[0];
         let orders = pair.take_orders();
+        pair.now += transit;
         let accepted = pair.give(orders).expect("the first orders are accepted");
         assert_eq!(accepted.assigned, vec![Name::from("w")]);
         pair.exchange();
@@ -268,7 +274,7 @@
         assert_eq!(accepted.commands.len(), usize::from(case.carried), "{}", case.name);
         if !case.carried {
             let received = pair.exchange();
-            let unsent = matches!(received.replies[..], [(_, _, _, Err(WorkerError::Unsent(_)))]);
+            let unsent = matches!(received.replies[..], [(_, _, Err(WorkerError::Unsent(_)))]);
             assert!(unsent, "{}: {received:?}", case.name);
         }
     }
@@ -293,8 +299,7 @@
     pair.dispatcher.send(addr("w"), start(0));
     let orders = pair.take_orders();
     let number = pair.give(orders).expect("accepted").commands[0].0;
-    let (session, local) = (pair.session, pair.local());
-    pair.relay.on_reply(session, number, Ok(700), local);
+    pair.relay.on_reply(pair.session, number, Ok(700));
     pair.now += 250;
     let report = pair.take_report();
     // The leader's reply is lost.
@@ -427,15 +432,17 @@
     assert!(pair.relay.unacked(session, &id));
 }
 
+/// Guards against runs that are taken as gone: a list counts as requested when it was, or earlier.
 #[test]
 fn times_of_a_report_are_never_later_than_on_the_leaders_clock() {
-    let mut pair = Pair::open(true);
-    let sent = pair.now;
-    pair.now += 40;
-    pair.reply(sent, Ok(list(1_000, 1, Vec::new())));
-    let received = pair.exchange();
-    let times = &received.polls[0].0;
-    assert!(times.sent_at <= sent && times.received_at == times.sent_at + 40, "{times:?}");
+    for transit in [0, 40, 600] {
+        let mut pair = Pair::open_after(worker("w", true), transit);
+        let sent = pair.now;
+        pair.now += 40;
+        pair.reply(sent, Ok(list(1_000, 1, Vec::new())));
+        let received = pair.exchange();
+        assert_eq!(received.polls[0].0.sent_at, sent - transit, "{transit} ms");
+    }
 }
 
 /// Guards against a completion that is lost: a relay went on acknowledging the completions of an
