A relay gives up a worker whose address was taken over

Callers would see: tasks of a worker that is lost for good stay down beside capacity for them, if the worker has a relay and another worker has come to its address.

Cause: a refusal with a clock counted as a reply of the worker, also where it says that another worker answers. The relay never gave its permission up, so that the leader took the leases for renewed. The leader's own polls have told the two apart before.

Change: such a refusal is a poll without a reply on a relay, too.

Ruled out: giving the permission up at the first one (a worker that has just moved would lose a renewal; silence has one bound).

Before the fix the test failed: a_worker_whose_address_was_taken_over_is_given_up: the leader may count the leases as expiring

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use base::{Millis, Name, event};
-use port::{Poll, PollReply, WorkerAddr, WorkerError};
+use port::{Poll, PollReply, Refusal, WorkerAddr, WorkerError};
 
 use crate::{
     list::RunList,
@@ -145,7 +145,10 @@
         });
         match result {
             Ok(_) => {}
-            Err(WorkerError::Refused(_, Some(_))) => worker.replied_at = now,
+            // Another worker replies at its address.
+            Err(WorkerError::Refused(why, Some(_))) if why != Refusal::OtherLife => {
+                worker.replied_at = now;
+            }
             Err(_) => worker.doubted_at = now,
         }
         if !worker.renews(now) {
--- a/crates/relay/tests/sessions.rs
+++ b/crates/relay/tests/sessions.rs
@@ -4,7 +4,9 @@
 
 use base::{Millis, Name};
 use job::TaskId;
-use port::{Completion, Outcome, Poll, PollReply, RunStatus, Start, WorkerAddr, WorkerError};
+use port::{
+    Completion, Outcome, Poll, PollReply, Refusal, RunStatus, Start, WorkerAddr, WorkerError,
+};
 use relay::{
     Accepted, Closed, Dispatcher, Orders, Received, Relay, RelayedWorker, Report, ReportReply,
     WorkerCommand,
@@ -231,6 +233,21 @@
     assert!(pair.poll().deadline.is_some(), "a new permission");
 }
 
+/// Guards against tasks that wait for ever: refusals of another worker at the address of a lost one
+/// were taken for replies of the lost one, whose leases seemed to be renewed for good.
+#[test]
+fn a_worker_whose_address_was_taken_over_is_given_up() {
+    let mut pair = Pair::open(false);
+    pair.sync();
+    let mut received = Received::default();
+    for _ in 0..7 {
+        let refusal = WorkerError::Refused(Refusal::OtherLife, Some(80));
+        pair.reply(pair.now, Err(refusal));
+        received = pair.exchange();
+    }
+    assert!(!received.polls[0].0.renews, "the leader may count the leases as expiring");
+}
+
 /// Guards against the longest lease: a worker that may have restarted takes a deadline on its earlier
 /// clock for that.
 #[test]
