A leader settles only by evidence from after the end of earlier leases

Cause: a new leader that doesn't reach all workers starts inherited tasks 7.2 s after it took over, when the leases that the leader before it granted have ended. It decides for 2 s after a further claim. If its 7.2 s end in that time, its successor may have reached one of those workers, adopted its run and renewed its leases, or acknowledged the end of it. Leases are taken as expired (`expire`) only by an answer of the store from after their end; for the wait of a new leader that was not asked.

Change: `settled` by time takes an answer of the store from after the end of the wait, like `expire`. The line `settled` says how old that answer is. A leader that has only the words of the members waits for the store with inherited tasks of unreached workers; words don't tell of a successor that isn't a member.

Why it works: without a claim before the end of the earlier leases, nobody can have renewed them.

Ruled out: a longer wait (a further claim may come at any time).

--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -409,13 +409,14 @@
     }
 
     /// Returns whether the runs of earlier leaders are known: every worker has listed its
-    /// runs, or the leases that those leaders granted have certainly expired.
+    /// runs, or the leases that those leaders granted have certainly expired. Another leader that
+    /// had taken over before their end would have renewed them.
     pub fn settled(&mut self, now: Now) -> bool {
         if !self.settled {
             let silent = self.workers.values().filter(|worker| !worker.synced);
             let last_end = silent.map(|worker| worker.earlier_leases_end).max();
             let all = last_end.is_none();
-            let expired = now.mono >= self.settle_deadline.max(last_end.unwrap_or(0));
+            let expired = self.unclaimed_at >= self.settle_deadline.max(last_end.unwrap_or(0));
             self.settled = (all && !self.workers.is_empty()) || expired;
             if self.settled {
                 let silent = self.workers.iter().filter(|(_, worker)| !worker.synced);
@@ -425,7 +426,8 @@
                     epoch = self.epoch,
                     all_listed = all,
                     workers = self.workers.len(),
-                    silent = silent.join(",")
+                    silent = silent.join(","),
+                    unclaimed = now.mono.saturating_sub(self.unclaimed_at)
                 );
             }
         }
