A new leader takes no leases as expired while an earlier one may act

Callers would see two runs of a task at once (TWICE) after a takeover beside a cut.

Cause: after a claim, the earlier leader may act for up to 2 s more, and its grants last for 5 s. A worker that has listed its runs to the successor refuses it, unless it restarts: then it has forgotten the successor's fencing token. If it is out of the successor's reach and in that of the earlier leader, this one starts tasks there, while the successor took its own leases as expired 5.25 s after its last renewal and started the tasks elsewhere.

Change: 'expire' takes no leases as expired before settle_deadline (7.2 s after the takeover with a member). Where a reply's clock shows a restart before that, the leases count until long_leases_end, as where the record or a list shows it.

Besides: runs on a worker to which this leader has granted no lease at all (it listed them and fell silent before the first renewal) were never dropped; their task was stuck while the worker stayed silent. They are the earlier leaders', whose grants have ended at the same time.

Ruled out: the longest lease (13.4 s) for all silent workers: more than LOST allows, and the earlier leader grants it only where it has not heard of a restart.

runs_are_given_up_only_by_evidence_from_after_the_end_of_their_leases played in the first 7.2 s of a leader; it now begins 8 s later and asks for the same.

Not covered: 'settled', which stays true when a worker restarts or falls silent after all have listed, so that inherited tasks that wait, or were on it, start elsewhere at once.

--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -140,7 +140,7 @@
     /// When the interference model was last recorded.
     model_saved: Millis,
     /// When the leases granted by earlier leaders have certainly expired.
-    settle_deadline: Millis,
+    pub(crate) settle_deadline: Millis,
     /// The same on workers that have restarted under an earlier leader, which may have granted them
     /// the longest lease.
     pub(crate) long_leases_end: Millis,
--- a/crates/lead/src/restart.rs
+++ b/crates/lead/src/restart.rs
@@ -13,8 +13,7 @@
         self.note_restart(id, incarnation);
         let batch = self.journal.add_worker(id);
         let max_lease = self.bounds.max_lease;
-        // An earlier leader that has not heard of the restart may still grant leases.
-        let inherited_end = if self.settles_by_time(now) { self.long_leases_end } else { 0 };
+        let inherited_end = self.inherited_leases_end(now);
         let Some(worker) = self.workers.get_mut(id) else { return };
         event!(
             "worker_restarted",
@@ -69,6 +68,12 @@
         }
     }
 
+    /// Returns when the leases of earlier leaders that have not heard of a restart have certainly
+    /// expired; 0 if they can grant none any more.
+    fn inherited_leases_end(&self, now: Now) -> Millis {
+        if self.settles_by_time(now) { self.long_leases_end } else { 0 }
+    }
+
     /// Records whether a worker may hold leases granted on an earlier clock, for the next leader.
     pub(crate) fn record_long_leases(&mut self, id: &Name, now: Now) {
         let Some(worker) = self.workers.get_mut(id) else { return };
@@ -94,6 +99,7 @@
     /// has to list its runs before it gets more work.
     pub(crate) fn on_reply(&mut self, id: &Name, clock: Millis, now: Now) {
         let max_lease = self.bounds.max_lease;
+        let inherited_end = self.inherited_leases_end(now);
         let Some(worker) = self.workers.get_mut(id) else { return };
         if !worker.record_reply(clock, now.mono) || !worker.synced {
             return;
@@ -101,6 +107,7 @@
         event!("worker_clock_behind", worker = id, clock = clock);
         worker.synced = false;
         worker.hold_earlier_leases(max_lease, now.mono);
+        worker.earlier_leases_end = worker.earlier_leases_end.max(inherited_end);
         self.doubt(id, now);
     }
 
--- a/crates/lead/src/watch.rs
+++ b/crates/lead/src/watch.rs
@@ -40,13 +40,15 @@
     }
 
     /// Drops the runs of a worker whose leases have certainly expired. Another leader that had taken
-    /// over before their end would have renewed them.
+    /// over before their end would have renewed them. An earlier one may act on a worker that has
+    /// restarted unnoticed since it listed its runs.
     fn expire(&mut self, id: &Name, now: Now, unclaimed_at: Millis) {
+        let settle_deadline = self.settle_deadline;
         let Some(worker) = self.workers.get_mut(id) else { return };
         if worker.renewed_by_relay {
             return;
         }
-        let Some(end) = worker.leases_end_at() else { return };
+        let end = worker.leases_end_at().unwrap_or(0).max(settle_deadline);
         // Runs may have completed before their leases expired, which only the worker knows.
         // It counts as gone only if it left a request unanswered shortly before the expiry or
         // later.
--- a/crates/lead/tests/decisions.rs
+++ b/crates/lead/tests/decisions.rs
@@ -437,6 +437,9 @@
 #[test]
 fn runs_are_given_up_only_by_evidence_from_after_the_end_of_their_leases() {
     let mut fleet = Fleet::open(2);
+    // Leases of an earlier leader have expired.
+    fleet.advance(8_000);
+    fleet.list_all();
     fleet.accept("a", spec(step(1, 1_000)));
     let sent = fleet.starts().remove(0);
     fleet.reply_start(&sent, Ok(1));
--- a/crates/lead/tests/fleet/mod.rs
+++ b/crates/lead/tests/fleet/mod.rs
@@ -386,6 +386,17 @@
         self.list_all();
     }
 
+    /// Delivers the records of all workers to a leader that has taken over, and their lists with
+    /// the only run, which an earlier leader started.
+    pub(crate) fn meet_with(&mut self, sent: &Sent) {
+        let time = self.time();
+        for id in self.ids() {
+            self.lead.on_worker_info(info(&id), time);
+            let running = if id == sent.0 { vec![(&sent.1, 0)] } else { Vec::new() };
+            self.list(&id, &running, &[]);
+        }
+    }
+
     fn ids(&self) -> Vec<Name> {
         self.lead.workers.keys().cloned().collect()
     }
--- a/crates/lead/tests/handover.rs
+++ b/crates/lead/tests/handover.rs
@@ -4,9 +4,9 @@
 mod fleet;
 
 use base::{Millis, Size};
-use fleet::{Fleet, info};
+use fleet::{Fleet, Sent, info};
 use job::{Spec, State, Step};
-use port::Outcome;
+use port::{Outcome, Refusal};
 
 /// Time for which a job can be queried after its end.
 const JOB_RETENTION: Millis = 600_000;
@@ -327,3 +327,70 @@
     }
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
+
+/// Guards against two runs of a task after a takeover: a worker restarts unnoticed after it has
+/// listed its runs, forgets the fencing token, and takes starts from the earlier leader, which may
+/// act for a while; the new one started its tasks elsewhere once its own leases had expired.
+#[test]
+fn tasks_of_a_silent_worker_wait_for_the_end_of_an_earlier_leader() {
+    struct Case<'a> {
+        name: &'a str,
+        /// What happens after the worker has listed its runs to the new leader.
+        event: &'a dyn Fn(&mut Fleet),
+        /// Time from the takeover within which its task has to start elsewhere.
+        within: (Millis, Millis),
+    }
+    let clock = |fleet: &mut Fleet| {
+        fleet.advance(500);
+        fleet.list_known("w1");
+        fleet.refuse_poll("w1", Refusal::Unhealthy, 5);
+    };
+    let renew = |fleet: &mut Fleet| {
+        fleet.poll("w1");
+    };
+    let cases = [
+        Case { name: "silent", event: &|_| {}, within: (7_200, 7_500) },
+        Case { name: "silent after a renewal", event: &renew, within: (7_200, 7_500) },
+        Case { name: "restarted by its clock", event: &clock, within: (13_300, 13_700) },
+    ];
+    let mut wrong = Vec::new();
+    for case in cases {
+        let (mut fleet, sent) = fleet_with_run();
+        fleet.take_over();
+        let begun = fleet.now();
+        fleet.meet_with(&sent);
+        fleet.commands();
+        (case.event)(&mut fleet);
+        let after = elapsed_to_start(&mut fleet, begun);
+        if after.is_none_or(|after| after < case.within.0 || after > case.within.1) {
+            wrong.push((case.name, after));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:?}");
+}
+
+/// Returns a fleet of two workers, w1 of which has confirmed the start of the only task.
+fn fleet_with_run() -> (Fleet, Sent) {
+    let mut fleet = Fleet::open(2);
+    fleet.accept("a", spec(vec![step(1)]));
+    let sent = fleet.starts().remove(0);
+    assert_eq!(&*sent.0, "w1");
+    fleet.reply_start(&sent, Ok(1));
+    (fleet, sent)
+}
+
+/// Lets worker w1 be silent, and returns how long after `begun` the next task starts on w0.
+fn elapsed_to_start(fleet: &mut Fleet, begun: Millis) -> Option<Millis> {
+    while fleet.now() < begun + 20_000 {
+        fleet.list_known("w0");
+        // A poll that has no reply is repeated once it has timed out.
+        if fleet.now() > begun + 2_500 {
+            fleet.fail_poll("w1");
+        }
+        if !fleet.starts().is_empty() {
+            return Some(fleet.now() - begun);
+        }
+        fleet.advance(60);
+    }
+    None
+}
