A job is shown as ended only as the log says

Callers would see a job as completed or failed, and as cancelled after a change of leader.

Cause: a batch with a job's cancelling marks its end as durable. If the last task ended, or failed for good, before the append was answered, the cancelling no longer took effect, and the job was shown at once with an end that no record held; every later record names the cancelling, too, and the next leader goes by that.

Change: a cancelling that has become durable counts, unless the job's end was durable before, in which case callers may have seen it. It is applied before the end counts as durable.

Why it works: what is shown is then what the record says that has just become durable.

Ruled out: taking the cancelling back when the job ends (it may be on its way, and its caller is told that it was carried out).

--- a/crates/lead/src/journal.rs
+++ b/crates/lead/src/journal.rs
@@ -188,14 +188,14 @@
     /// Applies the changes of a batch that has become durable.
     pub fn on_stored(&mut self, batch: &Batch, now: base::Now) {
         self.journal.stored = batch.number;
+        for id in &batch.cancelled {
+            self.apply_cancel(id, now);
+        }
         for id in &batch.ended {
             if let Some(job) = self.jobs.get_mut(id) {
                 job.end_stored = true;
             }
         }
-        for id in &batch.cancelled {
-            self.apply_cancel(id, now);
-        }
         for id in &batch.jobs {
             self.activate(id, now);
         }
--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -386,10 +386,11 @@
         }
     }
 
-    /// Applies a cancellation that has become durable.
+    /// Applies a cancellation that has become durable. It counts although the job has ended
+    /// since, as it does for the next leader, unless callers may have seen that end.
     pub(crate) fn apply_cancel(&mut self, id: &Name, now: Now) {
         let Some(job) = self.jobs.get_mut(id) else { return };
-        if job.is_terminal() {
+        if job.end_stored {
             return;
         }
         job.cancelled = true;
--- a/crates/lead/tests/handover.rs
+++ b/crates/lead/tests/handover.rs
@@ -394,3 +394,39 @@
     }
     None
 }
+
+/// Guards against a job that is shown as completed or failed, and as cancelled by the next leader:
+/// its cancelling was in an append on its way when its last task ended.
+#[test]
+fn a_job_is_shown_as_the_next_leader_shows_it() {
+    struct Case {
+        name: &'static str,
+        outcome: Outcome,
+        /// Whether the cancelling is on its way to the store when the task ends.
+        in_flight: bool,
+    }
+    let cases = [
+        Case { name: "completed", outcome: Outcome::Done, in_flight: false },
+        Case { name: "completed, in flight", outcome: Outcome::Done, in_flight: true },
+        Case { name: "failed", outcome: Outcome::Failed, in_flight: false },
+        Case { name: "failed, in flight", outcome: Outcome::Failed, in_flight: true },
+    ];
+    let mut wrong = Vec::new();
+    for case in cases {
+        let mut fleet = Fleet::open(1);
+        fleet.accept_once("a", spec(vec![step(1)]));
+        let sent = fleet.starts().remove(0);
+        fleet.reply_start(&sent, Ok(1));
+        fleet.request_cancel("a");
+        let batch = if case.in_flight { fleet.lead.take_batch() } else { None };
+        fleet.list(&sent.0, &[], &[(1, &sent.1, case.outcome)]);
+        let batch = batch.or_else(|| fleet.lead.take_batch()).expect("a batch");
+        fleet.append(&batch);
+        let shown = fleet.lead.state("a");
+        fleet.take_over();
+        if shown != fleet.lead.state("a") {
+            wrong.push((case.name, shown, fleet.lead.state("a")));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:?}");
+}
