Known red: inherited tasks start beside a worker that has restarted

Callers would see two runs of a task at once (TWICE) after a takeover beside a cut.

Cause: 'settled' stays true once all workers have listed their runs. If one of them restarts or falls silent after that, within 7.2 s of the takeover, it may have forgotten the fencing token and take a start of an inherited task from the earlier leader, while this one starts the same task elsewhere: one that waited, or that the worker's restart ended.

Tried and taken out: 'settled' counts again and again until settle_deadline, with a worker that isn't synced or hasn't replied for 2 s as not known.

--- a/crates/lead/tests/fleet/mod.rs
+++ b/crates/lead/tests/fleet/mod.rs
@@ -397,6 +397,12 @@
         }
     }
 
+    /// Returns whether the runs of earlier leaders are known.
+    pub(crate) fn settled(&mut self) -> bool {
+        let time = self.time();
+        self.lead.settled(time)
+    }
+
     fn ids(&self) -> Vec<Name> {
         self.lead.workers.keys().cloned().collect()
     }
--- a/crates/lead/tests/handover.rs
+++ b/crates/lead/tests/handover.rs
@@ -369,6 +369,53 @@
     assert!(wrong.is_empty(), "{wrong:?}");
 }
 
+/// Guards against two runs of an inherited task that waits: one worker restarts after all have
+/// listed their runs, forgets the fencing token, and takes a start from the earlier leader.
+#[test]
+fn inherited_tasks_wait_while_a_worker_is_silent_and_an_earlier_leader_may_act() {
+    struct Case<'a> {
+        name: &'a str,
+        /// What happens after all workers have listed their runs to the new leader.
+        event: &'a dyn Fn(&mut Fleet),
+        /// Time from the takeover within which the task has to start.
+        within: (Millis, Millis),
+    }
+    let silent = |fleet: &mut Fleet| {
+        for _ in 0..3 {
+            fleet.advance(700);
+            fleet.list("w0", &[], &[]);
+        }
+    };
+    let restart = |fleet: &mut Fleet| fleet.restart("w1", 2);
+    let back = |fleet: &mut Fleet| {
+        fleet.restart("w1", 2);
+        fleet.list("w1", &[], &[]);
+    };
+    let cases = [
+        Case { name: "none", event: &|_| {}, within: (0, 300) },
+        Case { name: "does not reply", event: &silent, within: (7_200, 7_500) },
+        Case { name: "restarted", event: &restart, within: (13_300, 13_700) },
+        Case { name: "restarted and listed", event: &back, within: (0, 300) },
+    ];
+    let mut wrong = Vec::new();
+    for case in cases {
+        let mut fleet = Fleet::open(2);
+        // Only w0 may run the task.
+        let labelled = Step { requires: Some("a".into()), ..step(1) };
+        fleet.accept("a", spec(vec![labelled]));
+        fleet.take_over();
+        let begun = fleet.now();
+        fleet.meet_all();
+        assert!(fleet.settled(), "all workers have listed their runs");
+        (case.event)(&mut fleet);
+        let after = elapsed_to_start(&mut fleet, begun);
+        if after.is_none_or(|after| after < case.within.0 || after > case.within.1) {
+            wrong.push((case.name, after));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:?}");
+}
+
 /// Returns a fleet of two workers, w1 of which has confirmed the start of the only task.
 fn fleet_with_run() -> (Fleet, Sent) {
     let mut fleet = Fleet::open(2);
