Runs and ends show that an earlier leader has begun their occurrence

Callers would see a task of a job with a schedule run again after its end 'done' had been acknowledged (TWICE), or its first run stopped as not wanted, after a change of leader.

Cause: a start doesn't wait for the record of its occurrence. If the leader is lost before that is durable, and the clock of its successor is behind, the occurrence isn't due there yet: its runs weren't wanted, its ends changed nothing and were acknowledged at once, and its tasks started anew when it was due.

Change: a listed run or end of an occurrence that isn't in progress begins it, and those before it, which are due earlier.

Why it works: workers list what a leader has ordered, and a leader starts a task only once its occurrence is due by its clock. The end is then acknowledged once the occurrence's record is durable.

Ruled out: starts that wait for the record (an append of delay for each occurrence); ends that stay unacknowledged until the occurrence is due (those behind them wait, too, and a restart of the worker loses them). Other tasks of the occurrence may start as early as by the earlier leader's clock.

--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -285,11 +285,18 @@
 
     /// Begins the occurrences that are due at a Unix time and returns their numbers.
     pub fn begin(&mut self, unix: Millis) -> Vec<u32> {
+        self.begin_while(|job| job.due(job.next_occurrence) <= unix)
+    }
+
+    /// Begins the occurrences up to one that an earlier leader has begun, and returns their
+    /// numbers.
+    pub fn begin_through(&mut self, occ: u32) -> Vec<u32> {
+        self.begin_while(|job| job.next_occurrence <= occ)
+    }
+
+    fn begin_while(&mut self, due: impl Fn(&Job) -> bool) -> Vec<u32> {
         let mut begun = Vec::new();
-        while !self.is_terminal()
-            && self.next_occurrence < self.occurrences()
-            && self.due(self.next_occurrence) <= unix
-        {
+        while !self.is_terminal() && self.next_occurrence < self.occurrences() && due(self) {
             self.in_progress.insert(self.next_occurrence, Occurrence::new(&self.spec));
             begun.push(self.next_occurrence);
             self.next_occurrence += 1;
--- a/crates/lead/src/completions.rs
+++ b/crates/lead/src/completions.rs
@@ -15,6 +15,7 @@
     /// Handles a completion listed by a worker.
     pub(crate) fn on_completion(&mut self, worker: &Name, completion: Completion, now: Now) {
         let task = completion.task.clone();
+        self.begin_listed(&task);
         self.remove_run(worker, &completion, now);
         let batch = self.apply_completion(worker, &completion, now);
         let mut incarnation = 0;
--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -284,6 +284,20 @@
         }
     }
 
+    /// Begins the occurrence of a task that a worker has listed. An earlier leader may have begun it
+    /// by a clock that is ahead, and its record may not be durable.
+    pub(crate) fn begin_listed(&mut self, id: &TaskId) {
+        let Some(job) = self.jobs.get_mut(&id.job).filter(|job| job.stored) else { return };
+        let begun = job.begin_through(id.occurrence);
+        if !begun.is_empty() {
+            event!("begun_by_earlier", task = id);
+            self.journal.add_progress(&id.job);
+        }
+        for occ in begun {
+            self.open_steps(&id.job, occ);
+        }
+    }
+
     /// Queues the tasks of the steps whose dependencies are done.
     pub(crate) fn open_steps(&mut self, id: &Name, occ: u32) {
         let Some(job) = self.jobs.get_mut(id) else { return };
--- a/crates/lead/tests/fleet/mod.rs
+++ b/crates/lead/tests/fleet/mod.rs
@@ -23,6 +23,8 @@
 pub(crate) struct Fleet {
     pub(crate) lead: Lead,
     now: Millis,
+    /// Time by which the leader's time of day is behind.
+    pub(crate) behind: Millis,
     last_completion: u64,
     running: Vec<Sent>,
     /// Newest time at which no other leader had taken over, where it is not the present.
@@ -56,6 +58,7 @@
         let mut fleet = Fleet {
             lead,
             now: NOW.mono,
+            behind: 0,
             last_completion: 1_000,
             running,
             unclaimed_at: None,
@@ -76,7 +79,7 @@
     }
 
     fn time(&self) -> Now {
-        Now { mono: self.now, unix: NOW.unix + self.now - NOW.mono }
+        Now { mono: self.now, unix: NOW.unix + self.now - NOW.mono - self.behind }
     }
 
     pub(crate) fn advance(&mut self, ms: Millis) {
--- a/crates/lead/tests/handover.rs
+++ b/crates/lead/tests/handover.rs
@@ -4,8 +4,8 @@
 mod fleet;
 
 use base::{Millis, Size};
-use fleet::{Fleet, Sent, info};
-use job::{Spec, State, Step};
+use fleet::{Fleet, NOW, Sent, info};
+use job::{Repeat, Spec, State, Step};
 use port::{Outcome, Refusal};
 
 /// Time for which a job can be queried after its end.
@@ -416,6 +416,37 @@
     assert!(wrong.is_empty(), "{wrong:?}");
 }
 
+/// Guards against a second run of a task after its acknowledged end: the earlier leader had begun an
+/// occurrence, which was not durable, and was not due yet by the clock of the next one.
+#[test]
+fn an_occurrence_that_an_earlier_leader_began_is_known_by_its_runs() {
+    for ended in [false, true] {
+        let mut fleet = Fleet::open(2);
+        let repeat = Repeat { count: 2, start: NOW.unix + 500, interval: 60_000 };
+        fleet.accept("a", Spec { repeat: Some(repeat), ..spec(vec![step(1)]) });
+        fleet.advance(500);
+        let sent = fleet.starts().remove(0);
+        fleet.reply_start(&sent, Ok(1));
+        fleet.behind = 5_000;
+        fleet.take_over();
+        if ended {
+            fleet.meet_all();
+            fleet.list(&sent.0, &[], &[(1, &sent.1, Outcome::Done)]);
+        } else {
+            fleet.meet_with(&sent);
+            assert!(fleet.stops().is_empty(), "the run is adopted");
+            fleet.list(&sent.0, &[], &[(1, &sent.1, Outcome::Done)]);
+        }
+        fleet.store();
+        assert_eq!(fleet.poll(&sent.0).acked, 1);
+        for _ in 0..100 {
+            fleet.advance(60);
+            fleet.list_all();
+            assert!(fleet.starts().is_empty(), "started after its end, ended before: {ended}");
+        }
+    }
+}
+
 /// Returns a fleet of two workers, w1 of which has confirmed the start of the only task.
 fn fleet_with_run() -> (Fleet, Sent) {
     let mut fleet = Fleet::open(2);
