--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -140,7 +140,7 @@
     /// When the interference model was last recorded.
     model_saved: Millis,
     /// When the leases granted by earlier leaders have certainly expired.
-    settle_deadline: Millis,
+    pub(crate) settle_deadline: Millis,
     /// The same on workers that have restarted under an earlier leader, which may have granted them
     /// the longest lease.
     pub(crate) long_leases_end: Millis,
@@ -284,6 +284,20 @@
         }
     }
 
+    /// Begins the occurrence of a task that a worker has listed. An earlier leader may have begun it
+    /// by a clock that is ahead, and its record may not be durable.
+    pub(crate) fn begin_listed(&mut self, id: &TaskId) {
+        let Some(job) = self.jobs.get_mut(&id.job).filter(|job| job.stored) else { return };
+        let begun = job.begin_through(id.occurrence);
+        if !begun.is_empty() {
+            event!("begun_by_earlier", task = id);
+            self.journal.add_progress(&id.job);
+        }
+        for occ in begun {
+            self.open_steps(&id.job, occ);
+        }
+    }
+
     /// Queues the tasks of the steps whose dependencies are done.
     pub(crate) fn open_steps(&mut self, id: &Name, occ: u32) {
         let Some(job) = self.jobs.get_mut(id) else { return };
@@ -386,10 +400,11 @@
         }
     }
 
-    /// Applies a cancellation that has become durable.
+    /// Applies a cancellation that has become durable. It counts although the job has ended
+    /// since, as it does for the next leader, unless callers may have seen that end.
     pub(crate) fn apply_cancel(&mut self, id: &Name, now: Now) {
         let Some(job) = self.jobs.get_mut(id) else { return };
-        if job.is_terminal() {
+        if job.end_stored {
             return;
         }
         job.cancelled = true;
--- a/crates/lead/tests/fleet/mod.rs
+++ b/crates/lead/tests/fleet/mod.rs
@@ -27,6 +27,8 @@
 pub(crate) struct Fleet {
     pub(crate) lead: Lead,
     now: Millis,
+    /// Time by which the leader's time of day is behind.
+    pub(crate) behind: Millis,
     last_completion: u64,
     running: Vec<Sent>,
     /// Newest time at which no other leader had taken over, where it is not the present.
@@ -60,6 +62,7 @@
         let mut fleet = Fleet {
             lead,
             now: NOW.mono,
+            behind: 0,
             last_completion: 1_000,
             running,
             unclaimed_at: None,
@@ -80,7 +83,7 @@
     }
 
     fn time(&self) -> Now {
-        Now { mono: self.now, unix: NOW.unix + self.now - NOW.mono }
+        Now { mono: self.now, unix: NOW.unix + self.now - NOW.mono - self.behind }
     }
 
     pub(crate) fn advance(&mut self, ms: Millis) {
@@ -390,6 +393,23 @@
         self.list_all();
     }
 
+    /// Delivers the records of all workers to a leader that has taken over, and their lists with
+    /// the only run, which an earlier leader started.
+    pub(crate) fn meet_with(&mut self, sent: &Sent) {
+        let time = self.time();
+        for id in self.ids() {
+            self.lead.on_worker_info(info(&id), time);
+            let running = if id == sent.0 { vec![(&sent.1, 0)] } else { Vec::new() };
+            self.list(&id, &running, &[]);
+        }
+    }
+
+    /// Returns whether the runs of earlier leaders are known.
+    pub(crate) fn settled(&mut self) -> bool {
+        let time = self.time();
+        self.lead.settled(time)
+    }
+
     fn ids(&self) -> Vec<Name> {
         self.lead.workers.keys().cloned().collect()
     }
--- a/crates/lead/tests/handover.rs
+++ b/crates/lead/tests/handover.rs
@@ -4,9 +4,9 @@
 mod fleet;
 
 use base::{Millis, Size};
-use fleet::{Fleet, info};
-use job::{Spec, State, Step};
-use port::Outcome;
+use fleet::{Fleet, NOW, Sent, info};
+use job::{Repeat, Spec, State, Step};
+use port::{Outcome, Refusal};
 
 /// Time for which a job can be queried after its end.
 const JOB_RETENTION: Millis = 600_000;
@@ -327,3 +327,184 @@
     }
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
+
+/// Guards against two runs of a task after a takeover: a worker restarts unnoticed after it has
+/// listed its runs, forgets the fencing token, and takes starts from the earlier leader, which may
+/// act for a while; the new one started its tasks elsewhere once its own leases had expired.
+#[test]
+fn tasks_of_a_silent_worker_wait_for_the_end_of_an_earlier_leader() {
+    struct Case<'a> {
+        name: &'a str,
+        /// What happens after the worker has listed its runs to the new leader.
+        event: &'a dyn Fn(&mut Fleet),
+        /// Time from the takeover within which its task has to start elsewhere.
+        within: (Millis, Millis),
+    }
+    let clock = |fleet: &mut Fleet| {
+        fleet.advance(500);
+        fleet.list_known("w1");
+        fleet.refuse_poll("w1", Refusal::Unhealthy, 5);
+    };
+    let renew = |fleet: &mut Fleet| {
+        fleet.poll("w1");
+    };
+    let cases = [
+        Case { name: "silent", event: &|_| {}, within: (7_200, 7_500) },
+        Case { name: "silent after a renewal", event: &renew, within: (7_200, 7_500) },
+        Case { name: "restarted by its clock", event: &clock, within: (13_300, 13_700) },
+    ];
+    let mut wrong = Vec::new();
+    for case in cases {
+        let (mut fleet, sent) = fleet_with_run();
+        fleet.take_over();
+        let begun = fleet.now();
+        fleet.meet_with(&sent);
+        fleet.commands();
+        (case.event)(&mut fleet);
+        let after = elapsed_to_start(&mut fleet, begun);
+        if after.is_none_or(|after| after < case.within.0 || after > case.within.1) {
+            wrong.push((case.name, after));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:?}");
+}
+
+/// Guards against two runs of an inherited task that waits: one worker restarts after all have
+/// listed their runs, forgets the fencing token, and takes a start from the earlier leader.
+#[test]
+fn inherited_tasks_wait_while_a_worker_is_silent_and_an_earlier_leader_may_act() {
+    struct Case<'a> {
+        name: &'a str,
+        /// What happens after all workers have listed their runs to the new leader.
+        event: &'a dyn Fn(&mut Fleet),
+        /// Time from the takeover within which the task has to start.
+        within: (Millis, Millis),
+    }
+    let silent = |fleet: &mut Fleet| {
+        for _ in 0..3 {
+            fleet.advance(700);
+            fleet.list("w0", &[], &[]);
+        }
+    };
+    let restart = |fleet: &mut Fleet| fleet.restart("w1", 2);
+    let back = |fleet: &mut Fleet| {
+        fleet.restart("w1", 2);
+        fleet.list("w1", &[], &[]);
+    };
+    let cases = [
+        Case { name: "none", event: &|_| {}, within: (0, 300) },
+        Case { name: "does not reply", event: &silent, within: (7_200, 7_500) },
+        Case { name: "restarted", event: &restart, within: (13_300, 13_700) },
+        Case { name: "restarted and listed", event: &back, within: (0, 300) },
+    ];
+    let mut wrong = Vec::new();
+    for case in cases {
+        let mut fleet = Fleet::open(2);
+        // Only w0 may run the task.
+        let labelled = Step { requires: Some("a".into()), ..step(1) };
+        fleet.accept("a", spec(vec![labelled]));
+        fleet.take_over();
+        let begun = fleet.now();
+        fleet.meet_all();
+        assert!(fleet.settled(), "all workers have listed their runs");
+        (case.event)(&mut fleet);
+        let after = elapsed_to_start(&mut fleet, begun);
+        if after.is_none_or(|after| after < case.within.0 || after > case.within.1) {
+            wrong.push((case.name, after));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:?}");
+}
+
+/// Guards against a second run of a task after its acknowledged end: the earlier leader had begun an
+/// occurrence, which was not durable, and was not due yet by the clock of the next one.
+#[test]
+fn an_occurrence_that_an_earlier_leader_began_is_known_by_its_runs() {
+    for ended in [false, true] {
+        let mut fleet = Fleet::open(2);
+        let repeat = Repeat { count: 2, start: NOW.unix + 500, interval: 60_000 };
+        fleet.accept("a", Spec { repeat: Some(repeat), ..spec(vec![step(1)]) });
+        fleet.advance(500);
+        let sent = fleet.starts().remove(0);
+        fleet.reply_start(&sent, Ok(1));
+        fleet.behind = 5_000;
+        fleet.take_over();
+        if ended {
+            fleet.meet_all();
+            fleet.list(&sent.0, &[], &[(1, &sent.1, Outcome::Done)]);
+        } else {
+            fleet.meet_with(&sent);
+            assert!(fleet.stops().is_empty(), "the run is adopted");
+            fleet.list(&sent.0, &[], &[(1, &sent.1, Outcome::Done)]);
+        }
+        fleet.store();
+        assert_eq!(fleet.poll(&sent.0).acked, 1);
+        for _ in 0..100 {
+            fleet.advance(60);
+            fleet.list_all();
+            assert!(fleet.starts().is_empty(), "started after its end, ended before: {ended}");
+        }
+    }
+}
+
+/// Returns a fleet of two workers, w1 of which has confirmed the start of the only task.
+fn fleet_with_run() -> (Fleet, Sent) {
+    let mut fleet = Fleet::open(2);
+    fleet.accept("a", spec(vec![step(1)]));
+    let sent = fleet.starts().remove(0);
+    assert_eq!(&*sent.0, "w1");
+    fleet.reply_start(&sent, Ok(1));
+    (fleet, sent)
+}
+
+/// Lets worker w1 be silent, and returns how long after `begun` the next task starts on w0.
+fn elapsed_to_start(fleet: &mut Fleet, begun: Millis) -> Option<Millis> {
+    while fleet.now() < begun + 20_000 {
+        fleet.list_known("w0");
+        // A poll that has no reply is repeated once it has timed out.
+        if fleet.now() > begun + 2_500 {
+            fleet.fail_poll("w1");
+        }
+        if !fleet.starts().is_empty() {
+            return Some(fleet.now() - begun);
+        }
+        fleet.advance(60);
+    }
+    None
+}
+
+/// Guards against a job that is shown as completed or failed, and as cancelled by the next leader:
+/// its cancelling was in an append on its way when its last task ended.
+#[test]
+fn a_job_is_shown_as_the_next_leader_shows_it() {
+    struct Case {
+        name: &'static str,
+        outcome: Outcome,
+        /// Whether the cancelling is on its way to the store when the task ends.
+        in_flight: bool,
+    }
+    let cases = [
+        Case { name: "completed", outcome: Outcome::Done, in_flight: false },
+        Case { name: "completed, in flight", outcome: Outcome::Done, in_flight: true },
+        Case { name: "failed", outcome: Outcome::Failed, in_flight: false },
+        Case { name: "failed, in flight", outcome: Outcome::Failed, in_flight: true },
+    ];
+    let mut wrong = Vec::new();
+    for case in cases {
+        let mut fleet = Fleet::open(1);
+        fleet.accept_once("a", spec(vec![step(1)]));
+        let sent = fleet.starts().remove(0);
+        fleet.reply_start(&sent, Ok(1));
+        fleet.request_cancel("a");
+        let batch = if case.in_flight { fleet.lead.take_batch() } else { None };
+        fleet.list(&sent.0, &[], &[(1, &sent.1, case.outcome)]);
+        let batch = batch.or_else(|| fleet.lead.take_batch()).expect("a batch");
+        fleet.append(&batch);
+        let shown = fleet.lead.state("a");
+        fleet.take_over();
+        if shown != fleet.lead.state("a") {
+            wrong.push((case.name, shown, fleet.lead.state("a")));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:?}");
+}
