A stop's confirmation from before a restart doesn't count after it

Callers would see: a task in two places at once. A start in doubt is stopped; the worker's earlier incarnation confirms the stop, and the confirmation arrives after the leader knows of the restart, as one in a relay's report may by up to 0.7 s. The new incarnation, which has seen no stop, can still carry out the start; the task has started elsewhere.

Cause: at a restart the stop was sent again while the earlier one was without a reply. Replies name no incarnation, so that the earlier one's counted for the new incarnation: the run's confirmation was younger than the restart (kept_over_restart), and the next list without the run ended it.

Change: a stop that has no reply when a restart becomes known is outdated. Its confirmation is not taken, and the stop is sent again after its reply, so that only one is on its way.

Cost: a stop that was on its way to a worker that crashed is sent again after its reply or timeout, no longer at once.

Ruled out: counting the stops on their way (replies overtake each other); comparing the reading in the reply (the worker clock is not known between the restart and the first list).

Left: two stops can be on their way where a start in doubt is cancelled while its first stop has no reply; only the first reply is held back then.

--- a/crates/lead/src/commands.rs
+++ b/crates/lead/src/commands.rs
@@ -126,7 +126,9 @@
         let Some(worker) = self.workers.get_mut(name) else { return };
         let Some(run) = worker.runs.get_mut(id).filter(|run| run.run_id == run_id) else { return };
         run.in_flight = false;
+        let outdated = std::mem::take(&mut run.stop_outdated);
         match reply {
+            Ok(_) if outdated => run.retry_at = now.mono,
             Ok(clock) => {
                 // From now on, the run does not exist or its completion will be listed.
                 run.state = RunState::Stopping;
--- a/crates/lead/src/restart.rs
+++ b/crates/lead/src/restart.rs
@@ -46,7 +46,8 @@
         for (task, run) in &mut worker.runs {
             let may_start = unconfirmed.contains(&(task.clone(), run.run_id));
             match run.state {
-                RunState::Unconfirmed | RunState::Starting => run.retry_at = now.mono,
+                RunState::Starting => run.retry_at = now.mono,
+                RunState::Unconfirmed => run.resend_stop(now.mono),
                 RunState::Stopping if run.confirmed_at == 0 || may_start => {
                     run.resend_stop(now.mono)
                 }
--- a/crates/lead/src/run.rs
+++ b/crates/lead/src/run.rs
@@ -50,6 +50,9 @@
     pub retry_at: Millis,
     /// Whether a command for the run awaits its reply.
     pub in_flight: bool,
+    /// Whether that is a stop sent before the worker's last restart, which an earlier incarnation
+    /// may confirm.
+    pub(crate) stop_outdated: bool,
     /// Completed work, in percent.
     pub percent: u32,
     /// When `percent` last changed.
@@ -83,6 +86,7 @@
             crash: None,
             retry_at: 0,
             in_flight: true,
+            stop_outdated: false,
             percent: 0,
             progress_at: now,
             metric: 0,
@@ -91,10 +95,11 @@
         }
     }
 
-    /// Marks the stop command as unconfirmed, so that it is sent again.
+    /// Marks the stop command as unconfirmed by the new incarnation of the worker, so that it is
+    /// sent again; where it has no reply yet, after that.
     pub(crate) fn resend_stop(&mut self, now: Millis) {
         self.confirmed_at = 0;
-        self.in_flight = false;
+        self.stop_outdated = self.in_flight;
         self.retry_at = now;
     }
 
--- a/crates/lead/tests/restart.rs
+++ b/crates/lead/tests/restart.rs
@@ -6,6 +6,7 @@
 use base::{Millis, Size};
 use fleet::{Fleet, NOW, Sent, info, link::Link};
 use job::{Spec, Step};
+use lead::Command;
 use port::{Outcome, Refusal, WorkerError, WorkerInfo};
 
 /// Incarnation of a worker after its restart.
@@ -294,6 +295,46 @@
     assert_eq!(fleet.starts().len(), 1);
 }
 
+/// Guards against two runs of a task: the earlier incarnation's confirmation of a stop arrived after
+/// the restart was known, and was taken for the new one's, which could still carry out the start.
+#[test]
+fn a_stop_confirmed_by_the_earlier_incarnation_does_not_count_for_the_new_one() {
+    struct Case {
+        name: &'static str,
+        /// Whether the task is cancelled, so that the run is being stopped at the restart.
+        cancelled: bool,
+    }
+    let cases =
+        [Case { name: "in doubt", cancelled: false }, Case { name: "cancelled", cancelled: true }];
+    for case in cases {
+        let mut fleet = Fleet::open(2);
+        fleet.accept("a", spec(1));
+        let sent = fleet.starts().remove(0);
+        fleet.reply_start(&sent, Err(WorkerError::InDoubt("timeout".into())));
+        if case.cancelled {
+            fleet.cancel("a");
+        }
+        fleet.advance(300);
+        assert_eq!(fleet.stops().len(), 1, "{}", case.name);
+        fleet.restart(&sent.0, RESTARTED);
+        fleet.store();
+        fleet.reply_stop(&sent, Ok(1));
+        fleet.advance(10);
+        let now = fleet.now();
+        fleet.list_since(&sent.0, now, RESTARTED, &[]);
+        let commands = fleet.commands();
+        let is_start = |command: &Command| matches!(command, Command::Start(..));
+        let is_stop = |command: &Command| matches!(command, Command::Stop(..));
+        assert!(!commands.iter().any(is_start), "{}: it may still be carried out", case.name);
+        assert!(commands.iter().any(is_stop), "{}: the new incarnation is told", case.name);
+        fleet.reply_stop(&sent, Ok(1));
+        fleet.advance(10);
+        let now = fleet.now();
+        fleet.list_since(&sent.0, now, RESTARTED, &[]);
+        assert_eq!(fleet.starts().len(), usize::from(!case.cancelled), "{}", case.name);
+    }
+}
+
 /// Guards against a task that waits for ever: refusals of another worker at the address of a lost
 /// one were taken for replies of the lost one.
 #[test]
