Fencing tokens rise while starts are in doubt

A task started again after its end was acknowledged, or ran twice: a start without a reply was carried out 2 to 12 s later by the next incarnation of its worker, which knows nothing of earlier stops and tokens.

Cause: the fencing token was the epoch alone, so that the present leader's own late start passed. Each remembered start needed a stop of its own in the new incarnation, whose confirmation came after the first exchange with it, or never in time.

Change: the epoch is in the high bits of a token, a count in the low 28. It rises with each start in doubt, also one whose run is gone already; the next request to the worker, the first poll included, fences what was issued before. A refused token deposes the leader only if it is the worker's newest; a start refused so is placed again, a stop or throttle is sent again. The token of the polls of relays travels with the worker and with commands, and back with each result, since the leader's newest may be above it. The count is one for all workers: one that is forgotten and comes back under the same incarnation would refuse a count that began anew, and depose the leader. Epochs, run ids and log lines are as before. The stops of remembered starts are kept: they hold a task and its size until the worker has replied.

Ruled out: raising the token at a restart, too (a start in doubt has raised it; sound starts on their way would be refused); telling the refused token by the time of the command (a relay may poll with a lower one after the raise).

Not shortened: the time until the first exchange.

--- a/crates/lead/src/commands.rs
+++ b/crates/lead/src/commands.rs
@@ -1,8 +1,8 @@
 use base::{Millis, Name, Now, event};
 use job::TaskId;
-use port::{Refusal, Stop, WorkerError};
+use port::{Refusal, Start, Stop, Throttle, WorkerError};
 
-use crate::{Command, Lead, RunState};
+use crate::{Command, Lead, RunState, worker::TOKEN_COUNTER_BITS};
 
 /// Time after which a command that got no reply is followed up.
 const RETRY_PAUSE: Millis = 250;
@@ -15,8 +15,9 @@
 impl Lead {
     /// Issues the stop command for a run.
     pub(crate) fn send_stop(&mut self, name: &Name, id: &TaskId) {
-        let token = self.epoch;
+        let epoch = self.epoch;
         let Some(worker) = self.workers.get_mut(name) else { return };
+        let token = worker.token(epoch);
         let addr = worker.addr();
         let Some(run) = worker.runs.get_mut(id) else { return };
         run.in_flight = true;
@@ -28,11 +29,14 @@
     pub fn on_start(
         &mut self,
         name: &Name,
-        id: &TaskId,
-        run_id: u64,
+        start: &Start,
         reply: Result<Millis, WorkerError>,
         now: Now,
     ) {
+        let (id, run_id) = (&start.task, start.run);
+        if matches!(reply, Err(WorkerError::InDoubt(_))) {
+            self.raise_token(name);
+        }
         let Some(worker) = self.workers.get_mut(name) else { return };
         let Some(run) = worker.runs.get_mut(id).filter(|run| run.run_id == run_id) else { return };
         if run.state != RunState::Stopping {
@@ -57,7 +61,7 @@
             }
             Err(WorkerError::Refused(why, clock)) => {
                 match why {
-                    Refusal::Fence => self.fenced(name),
+                    Refusal::Fence => self.fenced(name, start.token),
                     Refusal::Room => worker.paused_until = now.mono + FULL_PAUSE,
                     Refusal::Unhealthy => worker.paused_until = now.mono + UNHEALTHY_PAUSE,
                     Refusal::OtherLife => worker.paused_until = now.mono + UNHEALTHY_PAUSE,
@@ -94,11 +98,11 @@
     pub fn on_stop(
         &mut self,
         name: &Name,
-        id: &TaskId,
-        run_id: u64,
+        stop: &Stop,
         reply: Result<Millis, WorkerError>,
         now: Now,
     ) {
+        let (id, run_id) = (&stop.task, stop.run);
         let Some(worker) = self.workers.get_mut(name) else { return };
         let Some(run) = worker.runs.get_mut(id).filter(|run| run.run_id == run_id) else { return };
         run.in_flight = false;
@@ -110,7 +114,10 @@
                 self.on_reply(name, clock, now);
                 self.commands.push(Command::Poll(name.clone()));
             }
-            Err(WorkerError::Refused(Refusal::Fence, _)) => self.fenced(name),
+            Err(WorkerError::Refused(Refusal::Fence, _)) => {
+                run.retry_at = now.mono;
+                self.fenced(name, stop.token);
+            }
             Err(_) => {
                 run.retry_at = now.mono + RETRY_PAUSE;
                 worker.doubted_at = now.mono;
@@ -122,27 +129,41 @@
     pub fn on_throttle(
         &mut self,
         name: &Name,
-        id: &TaskId,
+        throttle: &Throttle,
         reply: Result<Millis, WorkerError>,
         now: Now,
     ) {
         let Some(worker) = self.workers.get_mut(name) else { return };
         match reply {
             Ok(clock) => self.on_reply(name, clock, now),
-            Err(WorkerError::Refused(Refusal::Fence, _)) => self.fenced(name),
-            Err(_) => {
+            Err(e) => {
                 // The speed limit in force is unknown, so the next decision sends it again.
-                if let Some(run) = worker.runs.get_mut(id) {
+                if let Some(run) = worker.runs.get_mut(&throttle.task) {
                     run.throttle = u32::MAX;
                 }
+                if matches!(e, WorkerError::Refused(Refusal::Fence, _)) {
+                    self.fenced(name, throttle.token);
+                }
             }
         }
     }
 
-    /// Records that a worker has accepted a higher fencing token, i.e. that another leader has
-    /// taken over.
-    pub(crate) fn fenced(&mut self, name: &Name) {
-        if self.deposed.is_none() {
+    /// Raises the fencing token of a worker: once it has seen the new one, it refuses all commands
+    /// issued before, also in an incarnation that knows nothing of their stop commands.
+    fn raise_token(&mut self, name: &Name) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        self.raise_count = (self.raise_count + 1).min((1 << TOKEN_COUNTER_BITS) - 1);
+        worker.raises = self.raise_count;
+        self.touched.insert(name.clone());
+    }
+
+    /// Handles the refusal of a fencing token. If it is the newest one of the worker, another
+    /// leader has taken over; a lower one has been raised by this leader.
+    pub(crate) fn fenced(&mut self, name: &Name, token: u64) {
+        let newest = self.workers.get(name).map(|worker| worker.token(self.epoch));
+        if newest.is_some_and(|newest| token < newest) {
+            event!("command_fenced", worker = name, epoch = self.epoch);
+        } else if self.deposed.is_none() {
             self.deposed = Some(format!("worker {name} has accepted a higher fencing token"));
         }
     }
--- a/crates/lead/src/latency.rs
+++ b/crates/lead/src/latency.rs
@@ -127,8 +127,9 @@
     }
 
     fn throttle(&mut self, id: &Name, task: &TaskId, percent: u32, why: &str, now: Now) {
-        let token = self.epoch;
+        let epoch = self.epoch;
         let Some(worker) = self.workers.get_mut(id) else { return };
+        let token = worker.token(epoch);
         worker.adjusted_at = now.mono;
         let addr = worker.addr();
         let Some(run) = worker.runs.get_mut(task).filter(|r| r.throttle != percent) else { return };
--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -90,7 +90,7 @@
 /// State of the leader of a cell.
 #[derive(Debug)]
 pub struct Lead {
-    /// Epoch of the leadership, used as the fencing token.
+    /// Epoch of the leadership, the high bits of its fencing tokens.
     pub epoch: u64,
     /// Jobs by identifier.
     pub jobs: BTreeMap<Name, Job>,
@@ -137,6 +137,9 @@
     workers_checked: Millis,
     /// Runs numbered in this epoch.
     run_count: u64,
+    /// Fencing tokens raised in this epoch, on any worker: one that is forgotten and returns must
+    /// not get a lower token.
+    pub(crate) raise_count: u64,
     /// When the interference model was last recorded.
     model_saved: Millis,
     /// When the leases granted by earlier leaders have certainly expired.
@@ -187,6 +190,7 @@
             preemption_checked: 0,
             workers_checked: 0,
             run_count: 0,
+            raise_count: 0,
             model_saved: now.mono,
             settle_deadline: now.mono + wait as Millis,
             long_leases_end: now.mono
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -32,5 +32,5 @@
     load::reset_load_metrics,
     run::{Run, RunState},
     waits::{WaitReason, WaitStatus},
-    worker::Worker,
+    worker::{TOKEN_COUNTER_BITS, Worker},
 };
--- a/crates/lead/src/place.rs
+++ b/crates/lead/src/place.rs
@@ -134,7 +134,7 @@
         checkpoint: Name,
         now: Now,
     ) {
-        let (token, lease) = (self.epoch, self.bounds.lease);
+        let (epoch, lease) = (self.epoch, self.bounds.lease);
         let ticket = self.ticket(id, name, now).unwrap_or_default();
         let waited = self.waited(&id.step_id(), now);
         let Some(job) = self.jobs.get_mut(&id.job) else { return };
@@ -146,6 +146,7 @@
         self.search_cursor = name.clone();
         self.reservations.remove(name);
         let Some(worker) = self.workers.get_mut(name) else { return };
+        let token = worker.token(epoch);
         let clock = worker.clock_now(now.mono).unwrap_or(0);
         let deadline = clock + lease;
         worker.lease_expiry = worker.lease_expiry.max(deadline);
@@ -163,7 +164,7 @@
             task = id,
             worker = name,
             run = run_id,
-            token = token,
+            token = epoch,
             free_cpu = worker.free().cpu,
             best_effort_cpu = worker.best_effort_cpu,
             image = step.image,
--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -61,6 +61,7 @@
         let worker = self.workers.entry(id.clone()).or_insert_with(|| Worker::new(info.clone()));
         if new {
             worker.record_batch = Some(self.journal.add_worker(&id));
+            worker.raises = self.raise_count;
             event!("worker_new", worker = id, addr = info.addr, cpu = info.size.cpu);
             self.note_replaced(&info);
         }
@@ -117,8 +118,9 @@
     ) -> Option<(WorkerAddr, Poll)> {
         let lease = self.bounds.lease;
         let stored = self.journal.stored;
-        let token = self.epoch;
+        let epoch = self.epoch;
         let worker = self.workers.get_mut(id)?;
+        let token = worker.token(epoch);
         worker.advance_acks(stored);
         // Leases must be left to expire while a worker is silent: each renewal that it may
         // have received puts off the time from which its runs can be dropped.
@@ -133,11 +135,12 @@
 
     /// Returns a worker as its relay has to know it; `None` if the worker is unknown.
     pub fn relayed_worker(&mut self, id: &Name) -> Option<RelayedWorker> {
-        let stored = self.journal.stored;
+        let (stored, epoch) = (self.journal.stored, self.epoch);
         let worker = self.workers.get_mut(id)?;
         worker.advance_acks(stored);
         Some(RelayedWorker {
             worker: worker.addr(),
+            token: worker.token(epoch),
             incarnation: worker.info.incarnation,
             acked: worker.ack_cursor(),
             wait: worker.list_wait(),
@@ -185,7 +188,7 @@
         worker.renewed_by_relay = poll.renews || reply.is_ok();
         self.touched.insert(poll.worker.clone());
         let received = Now { mono: poll.received_at, ..now };
-        self.on_poll(&poll.worker, poll.sent_at, reply, received);
+        self.on_poll(&poll.worker, poll.token, poll.sent_at, reply, received);
     }
 
     /// Returns whether completions of a worker still have to become durable. Until then, the
@@ -196,18 +199,19 @@
         newest.is_some_and(|(_, batch)| *batch > stored)
     }
 
-    /// Handles the runs and completions listed by a worker, in reply to a request sent at
-    /// `sent`.
+    /// Handles the runs and completions listed by a worker, in reply to a request sent at `sent`
+    /// with a fencing token.
     pub fn on_poll(
         &mut self,
         id: &Name,
+        token: u64,
         sent: Millis,
         reply: Result<PollReply, WorkerError>,
         now: Now,
     ) {
         let reply = match reply {
             Ok(reply) => reply,
-            Err(WorkerError::Refused(Refusal::Fence, _)) => return self.fenced(id),
+            Err(WorkerError::Refused(Refusal::Fence, _)) => return self.fenced(id, token),
             // Another worker replies at its address.
             Err(WorkerError::Refused(why, Some(clock))) if why != Refusal::OtherLife => {
                 return self.on_reply(id, clock, now);
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -9,6 +9,8 @@
     interference::{Exposure, headroom},
 };
 
+/// Low bits of a fencing token, which rise within one epoch; the epoch is above them.
+pub const TOKEN_COUNTER_BITS: u32 = 28;
 /// Lowest assumed rate of a worker clock, relative to true time.
 const MIN_CLOCK_RATE: f64 = 0.98;
 /// Safety margin on top of a computed lease expiry.
@@ -66,6 +68,8 @@
     /// Start commands without a reply, with run id and time. They may still reach a
     /// later incarnation of the worker, which knows nothing of earlier stop commands.
     pub unconfirmed_starts: Vec<(TaskId, u64, Millis)>,
+    /// Low bits of its fencing token.
+    pub(crate) raises: u64,
     /// Number of the last completion processed; completions are numbered in ascending order.
     pub last_completion: u64,
     /// Numbers of completions to acknowledge, each with the batch that has to be
@@ -136,6 +140,7 @@
             restarted_at: 0,
             renewed_by_relay: false,
             unconfirmed_starts: Vec::new(),
+            raises: 0,
             last_completion: 0,
             pending_acks: VecDeque::new(),
             acked: 0,
@@ -164,6 +169,11 @@
         WorkerAddr { id: self.info.id.clone(), addr: self.info.addr }
     }
 
+    /// Returns the fencing token of commands to the worker. It is above those of all earlier epochs.
+    pub fn token(&self, epoch: u64) -> u64 {
+        (epoch << TOKEN_COUNTER_BITS) | self.raises
+    }
+
     /// Returns the rack of the worker, which is the last of its labels.
     pub fn rack(&self) -> Option<&Name> {
         self.info.labels.last()
--- a/crates/node/src/decide.rs
+++ b/crates/node/src/decide.rs
@@ -62,26 +62,26 @@
     let workers = &node.platform.workers;
     match command {
         Command::Start(worker, start) => {
-            let (id, task, run) = (worker.id.clone(), start.task.clone(), start.run);
-            let reply = (workers.start)((worker, start)).await;
+            let id = worker.id.clone();
+            let reply = (workers.start)((worker, start.clone())).await;
             metrics::counter!("starts").increment(1);
             if let Some(lead) = node.shared.borrow_mut().lead_in(epoch) {
-                lead.on_start(&id, &task, run, reply, now());
+                lead.on_start(&id, &start, reply, now());
             }
         }
         Command::Stop(worker, stop) => {
-            let (id, task, run) = (worker.id.clone(), stop.task.clone(), stop.run);
-            let reply = (workers.stop)((worker, stop)).await;
+            let id = worker.id.clone();
+            let reply = (workers.stop)((worker, stop.clone())).await;
             metrics::counter!("stops").increment(1);
             if let Some(lead) = node.shared.borrow_mut().lead_in(epoch) {
-                lead.on_stop(&id, &task, run, reply, now());
+                lead.on_stop(&id, &stop, reply, now());
             }
         }
         Command::Throttle(worker, throttle) => {
-            let (id, task) = (worker.id.clone(), throttle.task.clone());
-            let reply = (workers.throttle)((worker, throttle)).await;
+            let id = worker.id.clone();
+            let reply = (workers.throttle)((worker, throttle.clone())).await;
             if let Some(lead) = node.shared.borrow_mut().lead_in(epoch) {
-                lead.on_throttle(&id, &task, reply, now());
+                lead.on_throttle(&id, &throttle, reply, now());
             }
         }
         Command::AskPolicy(step, candidates) => {
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -249,14 +249,14 @@
     match command {
         WorkerCommand::Start(start) => {
             metrics::counter!("starts").increment(1);
-            lead.on_start(&worker.id, &start.task, start.run, reply, time);
+            lead.on_start(&worker.id, start, reply, time);
         }
         WorkerCommand::Stop(stop) => {
             metrics::counter!("stops").increment(1);
-            lead.on_stop(&worker.id, &stop.task, stop.run, reply, time);
+            lead.on_stop(&worker.id, stop, reply, time);
         }
         WorkerCommand::Throttle(throttle) => {
-            lead.on_throttle(&worker.id, &throttle.task, reply, time);
+            lead.on_throttle(&worker.id, throttle, reply, time);
         }
     }
 }
--- a/crates/node/src/relaying.rs
+++ b/crates/node/src/relaying.rs
@@ -93,10 +93,9 @@
 async fn poll(node: &Rc<Node>, session: u64, id: &Name, at_once: bool) -> Option<bool> {
     let sent = now().mono;
     let (addr, request) = node.shared.borrow_mut().relay.poll(session, id, at_once, sent)?;
-    let deadline = request.deadline;
-    let reply = (node.platform.workers.poll)((addr, request)).await;
+    let reply = (node.platform.workers.poll)((addr, request.clone())).await;
     let replied = reply.is_ok();
-    node.shared.borrow_mut().relay.on_poll(session, id, sent, deadline, reply, now().mono);
+    node.shared.borrow_mut().relay.on_poll(session, id, sent, &request, reply, now().mono);
     node.report_wakeup.notify();
     Some(replied)
 }
--- a/crates/node/src/workers.rs
+++ b/crates/node/src/workers.rs
@@ -83,11 +83,12 @@
         let renew = shared.may_decide(sent.mono);
         shared.lead_in(epoch)?.poll(id, at_once, renew, sent)?
     };
+    let token = request.token;
     let reply = (node.platform.workers.poll)((addr, request)).await;
     let replied = reply.is_ok();
     {
         let mut shared = node.shared.borrow_mut();
-        shared.lead_in(epoch)?.on_poll(id, sent.mono, reply, now());
+        shared.lead_in(epoch)?.on_poll(id, token, sent.mono, reply, now());
     }
     node.decide_wakeup.notify();
     Some(replied)
--- a/crates/port/src/worker.rs
+++ b/crates/port/src/worker.rs
@@ -50,7 +50,7 @@
     pub text: Name,
     /// Lease expiry, in milliseconds of the worker's clock.
     pub deadline: Millis,
-    /// Fencing token: the epoch of the leader.
+    /// Fencing token, above all of earlier leaders.
     pub token: u64,
     /// Checkpoint to resume from; empty where there is none.
     pub checkpoint: Name,
@@ -65,7 +65,7 @@
     pub task: TaskId,
     /// Number of the run.
     pub run: u64,
-    /// Fencing token: the epoch of the leader.
+    /// Fencing token, above all of earlier leaders.
     pub token: u64,
 }
 
@@ -78,7 +78,7 @@
     pub run: u64,
     /// Share of its full speed at which the run may work, in percent; 100 ends throttling.
     pub percent: u32,
-    /// Fencing token: the epoch of the leader.
+    /// Fencing token, above all of earlier leaders.
     pub token: u64,
 }
 
@@ -86,7 +86,7 @@
 /// runs and completions.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Poll {
-    /// Fencing token: the epoch of the leader.
+    /// Fencing token, above all of earlier leaders.
     pub token: u64,
     /// Completions up to this number are durable; the worker may forget them.
     pub acked: u64,
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -93,6 +93,8 @@
 pub struct PollTimes {
     /// The worker.
     pub worker: Name,
+    /// Fencing token of the poll.
+    pub token: u64,
     /// When the poll was sent.
     pub sent_at: Millis,
     /// When the reply was received.
@@ -341,8 +343,9 @@
                 received.replies.push((worker, command, at, reply));
             }
         }
-        for PollResult { worker, sent_at, received_at, deadline, given_up, result } in report.polls
-        {
+        for poll in report.polls {
+            let PollResult { worker, token, sent_at, received_at, deadline, given_up, result } =
+                poll;
             let Some(mirror) = self.workers.get_mut(&worker) else { continue };
             let renews = mirror.update_permission(given_up);
             if result.is_ok() && !renews {
@@ -355,7 +358,7 @@
                 },
                 Err(e) => Err(e),
             };
-            let times = PollTimes { worker, sent_at, received_at, deadline, renews };
+            let times = PollTimes { worker, token, sent_at, received_at, deadline, renews };
             received.polls.push((times, result));
         }
     }
--- a/crates/relay/src/msg.rs
+++ b/crates/relay/src/msg.rs
@@ -14,11 +14,24 @@
     Throttle(Throttle),
 }
 
+impl WorkerCommand {
+    /// Returns the fencing token.
+    pub(crate) fn token(&self) -> u64 {
+        match self {
+            WorkerCommand::Start(start) => start.token,
+            WorkerCommand::Stop(stop) => stop.token,
+            WorkerCommand::Throttle(throttle) => throttle.token,
+        }
+    }
+}
+
 /// A worker as the leader knows it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RelayedWorker {
     /// Identifier and address.
     pub worker: WorkerAddr,
+    /// Fencing token of polls.
+    pub token: u64,
     /// Incarnation that `acked` refers to.
     pub incarnation: u64,
     /// Completions up to this number are durable; the worker may forget them.
@@ -34,7 +47,7 @@
 pub struct Orders {
     /// Name of the leader's VM.
     pub leader: Name,
-    /// Epoch of the leader, which is the fencing token of all calls to workers.
+    /// Epoch of the leader.
     pub epoch: u64,
     /// Session of the leader with this relay; rises with each new one.
     pub session: u64,
@@ -79,6 +92,8 @@
 pub struct PollResult {
     /// The worker.
     pub worker: Name,
+    /// Fencing token of the poll.
+    pub token: u64,
     /// When the poll was sent.
     pub sent_at: Millis,
     /// When the reply was received, or the poll was given up.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -101,6 +101,11 @@
             session.workers.remove(id);
         }
         let assigned = session.update_workers(orders.workers, now);
+        for (_, addr, command) in &orders.commands {
+            if let Some(worker) = session.workers.get_mut(&addr.id) {
+                worker.state.token = worker.state.token.max(command.token());
+            }
+        }
         let commands = session.refuse_old(orders.commands, orders.report, now);
         Some(Accepted { session: session.id, assigned, polls: orders.polls, commands })
     }
@@ -116,24 +121,24 @@
         now: Millis,
     ) -> Option<(WorkerAddr, Poll)> {
         let session = self.current(session)?;
-        let (token, lease, valid) = (session.epoch, session.lease, now < session.valid_until);
+        let (lease, valid) = (session.lease, now < session.valid_until);
         let worker = session.workers.get(id)?;
         // A worker that may have restarted would take the deadline for the longest lease.
         let renews = valid && worker.renews(now) && !worker.may_be_new;
         let deadline = worker.clock_now(now).filter(|_| renews).map(|clock| clock + lease);
         let wait = if at_once || worker.clock.is_none() { 0 } else { worker.state.wait };
         let acked = if worker.may_be_new { 0 } else { worker.state.acked };
-        let poll = Poll { token, acked, deadline, wait };
+        let poll = Poll { token: worker.state.token, acked, deadline, wait };
         Some((worker.state.worker.clone(), poll))
     }
 
-    /// Handles the result of a poll that was sent at `sent`.
+    /// Handles the result of the poll `request` that was sent at `sent`.
     pub fn on_poll(
         &mut self,
         session: u64,
         id: &Name,
         sent: Millis,
-        deadline: Option<Millis>,
+        request: &Poll,
         reply: Result<PollReply, WorkerError>,
         now: Millis,
     ) {
@@ -153,7 +158,8 @@
             worker.given_up = worker.permission;
         }
         let (worker, given_up) = (id.clone(), worker.given_up);
-        let poll = PollResult { worker, sent_at, received_at, deadline, given_up, result };
+        let (token, deadline) = (request.token, request.deadline);
+        let poll = PollResult { worker, token, sent_at, received_at, deadline, given_up, result };
         session.polls.push(poll);
     }
 
@@ -330,6 +336,7 @@
     /// this VM may know a newer one.
     fn update(&mut self, mut state: RelayedWorker, permission: u64) {
         self.permission = self.permission.max(permission);
+        state.token = state.token.max(self.state.token);
         if self.incarnation.is_some_and(|known| known > state.incarnation) {
             state.acked = self.state.acked;
         }
