--- a/crates/lead/tests/fleet/link.rs
+++ b/crates/lead/tests/fleet/link.rs
@@ -91,7 +91,7 @@
         let (session, local) = (self.session, fleet.now + SKEW);
         let polled = self.relay.poll(session, &self.worker, false, local);
         let poll = polled.expect("the worker is assigned").1;
-        self.relay.on_poll(session, &self.worker, local, poll.deadline, reply, local);
+        self.relay.on_poll(session, &self.worker, local, &poll, reply, local);
         poll
     }
 
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -93,6 +93,8 @@
 pub struct PollTimes {
     /// The worker.
     pub worker: Name,
+    /// Fencing token of the poll.
+    pub token: u64,
     /// When the poll was sent, or somewhat earlier.
     pub sent_at: Millis,
     /// Lease expiry that the poll set, on the worker's clock.
@@ -339,7 +341,8 @@
                 received.replies.push((worker, command, reply));
             }
         }
-        for PollResult { worker, sent_at, deadline, given_up, result } in report.polls {
+        for poll in report.polls {
+            let PollResult { worker, token, sent_at, deadline, given_up, result } = poll;
             let Some(mirror) = self.workers.get_mut(&worker) else { continue };
             let renews = mirror.update_permission(given_up);
             if result.is_ok() && !renews {
@@ -352,7 +355,7 @@
                 },
                 Err(e) => Err(e),
             };
-            let times = PollTimes { worker, sent_at, deadline, renews };
+            let times = PollTimes { worker, token, sent_at, deadline, renews };
             received.polls.push((times, result));
         }
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -101,6 +101,11 @@
             session.workers.remove(id);
         }
         let assigned = session.update_workers(orders.workers, now);
+        for (_, addr, command) in &orders.commands {
+            if let Some(worker) = session.workers.get_mut(&addr.id) {
+                worker.state.token = worker.state.token.max(command.token());
+            }
+        }
         let commands = session.refuse_old(orders.commands, orders.report, now);
         Some(Accepted { session: session.id, assigned, polls: orders.polls, commands })
     }
@@ -116,23 +121,23 @@
         now: Millis,
     ) -> Option<(WorkerAddr, Poll)> {
         let session = self.current(session)?;
-        let (token, lease, valid) = (session.epoch, session.lease, now < session.valid_until);
+        let (lease, valid) = (session.lease, now < session.valid_until);
         let worker = session.workers.get(id)?;
         let renews = valid && worker.renews(now) && worker.is_known();
         let deadline = worker.clock_now(now).filter(|_| renews).map(|clock| clock + lease);
         let wait = if at_once || worker.clock.is_none() { 0 } else { worker.state.wait };
         let acked = if worker.is_known() { worker.state.acked } else { 0 };
-        let poll = Poll { token, acked, deadline, wait };
+        let poll = Poll { token: worker.state.token, acked, deadline, wait };
         Some((worker.state.worker.clone(), poll))
     }
 
-    /// Handles the result of a poll that was sent at `sent`.
+    /// Handles the result of the poll `request` that was sent at `sent`.
     pub fn on_poll(
         &mut self,
         session: u64,
         id: &Name,
         sent: Millis,
-        deadline: Option<Millis>,
+        request: &Poll,
         reply: Result<PollReply, WorkerError>,
         now: Millis,
     ) {
@@ -155,7 +160,8 @@
             worker.given_up = worker.permission;
         }
         let (worker, given_up) = (id.clone(), worker.given_up);
-        let poll = PollResult { worker, sent_at, deadline, given_up, result };
+        let (token, deadline) = (request.token, request.deadline);
+        let poll = PollResult { worker, token, sent_at, deadline, given_up, result };
         session.polls.push(poll);
     }
 
@@ -320,8 +326,9 @@
         }
     }
 
-    fn update(&mut self, state: RelayedWorker, permission: u64) {
+    fn update(&mut self, mut state: RelayedWorker, permission: u64) {
         self.permission = self.permission.max(permission);
+        state.token = state.token.max(self.state.token);
         self.state = state;
     }
 
