--- a/crates/lead/tests/world/worker.rs
+++ b/crates/lead/tests/world/worker.rs
@@ -56,7 +56,7 @@
     /// Expiry of the leases on the worker clock.
     lease_expiry: Millis,
     /// Completions that have not been acknowledged.
-    completions: Vec<Completion>,
+    pub(crate) completions: Vec<Completion>,
     last_number: u64,
     /// Highest run of each task that has ended or was stopped; it cannot start again.
     closed_runs: BTreeMap<TaskId, u64>,
@@ -138,9 +138,14 @@
         FakeWorker { id, incarnation, port: self.port, down_until: incarnation, ..fresh }
     }
 
+    /// Returns whether the leases have expired.
+    pub(crate) fn has_lapsed(&self, now: Millis) -> bool {
+        self.clock(now) >= self.lease_expiry
+    }
+
     /// Ends the runs that are due, or all of them if the leases have expired.
     pub(crate) fn work(&mut self, now: Millis) {
-        if self.clock(now) >= self.lease_expiry {
+        if self.has_lapsed(now) {
             let all: Vec<TaskId> = self.runs.keys().cloned().collect();
             all.into_iter().for_each(|task| self.end_run(&task, Outcome::Lapsed));
         }
