--- a/crates/lead/tests/cell/mod.rs
+++ b/crates/lead/tests/cell/mod.rs
@@ -549,13 +549,13 @@
         let lead = &mut self.leaders.get_mut(&call.epoch).expect("a leader").lead;
         match (call.body, reply) {
             (Body::Start(start), Reply::Clock(result)) => {
-                lead.on_start(&call.worker, &start.task, start.run, result, time);
+                lead.on_start(&call.worker, &start, result, time);
             }
             (Body::Stop(stop), Reply::Clock(result)) => {
-                lead.on_stop(&call.worker, &stop.task, stop.run, result, time);
+                lead.on_stop(&call.worker, &stop, result, time);
             }
-            (Body::Poll(_, at_once), Reply::List(result)) => {
-                lead.on_poll(&call.worker, call.sent, result, time);
+            (Body::Poll(poll, at_once), Reply::List(result)) => {
+                lead.on_poll(&call.worker, poll.token, call.sent, result, time);
                 let pause = if failed { POLL_RETRY_DELAY } else { 0 };
                 if !at_once {
                     self.schedule(pause, Event::Poll(call.epoch, call.worker, 0));
--- a/crates/lead/tests/takeovers.rs
+++ b/crates/lead/tests/takeovers.rs
@@ -99,6 +99,10 @@
     ("cuts, claims, one-way cuts, freezes", 1),
     ("cuts, claims, drains", 1_006),
     ("cuts, claims, mixed jobs", 1_122),
+    // The record of a worker that had come back was deleted with the batch that added it.
+    ("cuts, outages, slow appends", 7_006),
+    // A draining worker was taken out of the log before it had listed its runs.
+    ("cuts, claims, drains", 7_001),
 ];
 
 fn spec() -> Spec {
