Members stay until the earlier leader can't decide by their words

Callers would see tasks run twice after two changes of leader in a row beside a cut.

Cause: a new leader changed the members as soon as it had settled, which 'all workers have listed' makes true within milliseconds. The leader before it may decide by the words of the earlier members for up to 12 s; a VM that the record names from then on waits for 7.2 s only when it claims, although the earlier leader doesn't need its word. It takes a worker that restarts meanwhile, and forgets the fence, beside it.

Ruled out: asking for lists as well (the wait alone covers the words).

Before: assertion failed: !fleet.lead.may_change_members(opened), with the method returning what save_members asked for.

--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -453,6 +453,12 @@
         self.settled
     }
 
+    /// Returns whether the members of the cell may be changed: no earlier leader still decides by the
+    /// words of the present ones. That all workers have listed their runs does not show it.
+    pub fn may_change_members(&self, now: Now) -> bool {
+        !self.settles_by_time(now)
+    }
+
     /// Returns whether leases of earlier leaders may still be valid.
     pub(crate) fn settles_by_time(&self, now: Now) -> bool {
         now.mono < self.settle_deadline
--- a/crates/lead/tests/fleet/mod.rs
+++ b/crates/lead/tests/fleet/mod.rs
@@ -82,7 +82,7 @@
         self.now
     }
 
-    fn time(&self) -> Now {
+    pub(crate) fn time(&self) -> Now {
         Now { mono: self.now, unix: NOW.unix + self.now - NOW.mono - self.behind }
     }
 
--- a/crates/lead/tests/handover.rs
+++ b/crates/lead/tests/handover.rs
@@ -228,6 +228,22 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
+/// Guards against two leaders that decide: a leader that had not been a member, to which all workers
+/// had listed their runs, became one in the log while the earlier leader decided by the words of
+/// the others, and the leader after it waited for a member's time only.
+#[test]
+fn members_stay_while_an_earlier_leader_may_decide_by_their_words() {
+    let mut fleet = Fleet::open(2);
+    fleet.take_over();
+    fleet.meet_all();
+    let opened = fleet.time();
+    assert!(fleet.lead.settled(opened), "all workers have listed");
+    assert!(!fleet.lead.may_change_members(opened));
+    fleet.advance(SETTLED);
+    let later = fleet.time();
+    assert!(fleet.lead.may_change_members(later));
+}
+
 /// Guards against workers with runs that are missing for the leader after next: one that does not
 /// know their runs yet took them out of the log.
 #[test]
--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -159,12 +159,12 @@
     }
 }
 
-/// Records the members of the cell if they have changed. A leader that has not settled keeps to
-/// those of the earlier one, which may still decide by their words.
+/// Records the members of the cell if they have changed.
 fn save_members(node: &Node, now: Now) {
     let mut shared = node.shared.borrow_mut();
     let Shared { lead: Some(lead), election, .. } = &mut *shared else { return };
-    let Some(members) = election.members_due(now.mono).filter(|_| lead.settled(now)) else {
+    let Some(members) = election.members_due(now.mono).filter(|_| lead.may_change_members(now))
+    else {
         return;
     };
     let vms = members.len();
