A relay takes the leader's clock from each reply to a report

Callers would see a task in two places at once, in a long session with a relay whose clock gains on the leader's.

Cause: a relay dated polls by the leader's clock as it was when the session was opened. Once the clocks have drifted apart by more than the transit of the first orders (30 millionths: 108 ms in an hour), a list seems to have been requested later than it was, after the confirmation of a start that it lacks.

Change: the leader's reply to a report has its clock, and the relay goes by the newest. The time of a poll stays early, by the transit of that reply.

Ruled out: a bound on the age of a session (workers would pass over now and then).

Before: 'dated 59 ms late' is what the test a_poll_is_not_dated_late_once_clocks_have_drifted_apart shows by its construction (60 exchanges that gain 1 ms each); it was written with the fix. The test of report times lets the reply to a report take the transit, too, and asks for the exact time as before.

With it, a refusal is a doubt about the incarnation: it names none. A worker that had restarted between two polls and refused the second got acknowledgements and renewals of its earlier life (a_refusal_is_no_evidence_of_the_incarnation: left (7, Some(95250)), right (0, None) before).

--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -258,7 +258,7 @@
             session.report = report.number;
             session.receive(report, &mut received);
         }
-        (received, ReportReply::Granted(valid_for))
+        (received, ReportReply::Granted { valid_for, at: now })
     }
 
     /// Returns the sessions whose relay has been silent for too long.
--- a/crates/relay/src/msg.rs
+++ b/crates/relay/src/msg.rs
@@ -95,7 +95,7 @@
     /// Fencing token of the poll.
     pub token: u64,
     /// When the poll was sent, on the leader's clock or somewhat earlier: by the time that the
-    /// session's first orders took to arrive.
+    /// leader's newest reply to a report, or the session's first orders, took to arrive.
     pub sent_at: Millis,
     /// Lease expiry that the poll set, on the worker's clock.
     pub deadline: Option<Millis>,
@@ -127,9 +127,13 @@
 /// Reply of the leader to a report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ReportReply {
-    /// The relay may renew leases for this time from the moment at which it sent the report,
-    /// in milliseconds.
-    Granted(Millis),
+    /// The relay may renew leases.
+    Granted {
+        /// For how long from the moment at which it sent the report, in milliseconds.
+        valid_for: Millis,
+        /// The leader's clock.
+        at: Millis,
+    },
     /// The session is over.
     Closed,
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -33,8 +33,8 @@
     id: u64,
     /// Number of the newest orders received.
     orders: u64,
-    /// When the session was opened, on this VM's clock and on the leader's.
-    opened: (Millis, Millis),
+    /// When the newest message with the leader's clock arrived, on this VM's clock, and that clock.
+    anchor: (Millis, Millis),
     lease: Millis,
     /// Until when leases may be renewed.
     valid_until: Millis,
@@ -148,13 +148,13 @@
             worker.on_reply(&reply, sent, now);
             worker.list.diff(reply)
         });
-        match result {
-            Ok(_) => {}
-            // Another worker replies at its address.
-            Err(WorkerError::Refused(why, Some(_))) if why != Refusal::OtherLife => {
+        if let Err(why) = &result {
+            // A refusal does not name the incarnation.
+            worker.doubted_at = now;
+            // With `OtherLife`, another worker replies at its address.
+            if matches!(why, WorkerError::Refused(why, Some(_)) if *why != Refusal::OtherLife) {
                 worker.replied_at = now;
             }
-            Err(_) => worker.doubted_at = now,
         }
         if !worker.renews(now) {
             worker.given_up = worker.permission;
@@ -213,10 +213,12 @@
     pub fn on_report_reply(&mut self, report: &Report, reply: Option<ReportReply>, now: Millis) {
         let Some(session) = self.current(report.session) else { return };
         match reply {
-            Some(ReportReply::Granted(time)) => {
+            Some(ReportReply::Granted { valid_for, at }) => {
                 session.confirmed_at = now;
+                // The clocks may drift apart in the course of a session.
+                session.anchor = (now, at);
                 let sent = session.sent.iter().find(|(number, _)| *number == report.number);
-                let until = sent.map_or(0, |(_, at)| at + time);
+                let until = sent.map_or(0, |(_, sent_at)| sent_at + valid_for);
                 session.valid_until = session.valid_until.max(until);
                 session.unconfirmed = None;
             }
@@ -257,7 +259,7 @@
             epoch: orders.epoch,
             id: orders.session,
             orders: 0,
-            opened: (now, orders.opened_at),
+            anchor: (now, orders.opened_at),
             lease: orders.lease,
             valid_until: 0,
             workers: BTreeMap::new(),
@@ -270,10 +272,10 @@
         }
     }
 
-    /// Converts a time to the leader's clock. The result is early by the time that the first
-    /// orders took to arrive.
+    /// Converts a time to the leader's clock. The result is early by the time that the message
+    /// with the leader's clock took to arrive.
     fn leader_time(&self, at: Millis) -> Millis {
-        (at + self.opened.1).saturating_sub(self.opened.0)
+        (at + self.anchor.1).saturating_sub(self.anchor.0)
     }
 
     /// Adds or updates workers. Returns those that are new.
--- a/crates/relay/tests/sessions.rs
+++ b/crates/relay/tests/sessions.rs
@@ -54,6 +54,8 @@
 /// A leader and a relay with one worker.
 struct Pair {
     now: Millis,
+    /// Time that the relay's clock has gained on the leader's.
+    gain: Millis,
     dispatcher: Dispatcher,
     relay: Relay,
     session: u64,
@@ -71,10 +73,11 @@
         Pair::open_after(worker, 0)
     }
 
-    /// The same with first orders that take `transit` to arrive.
+    /// The same with first orders, and a reply to the first report, that take `transit` to arrive.
     fn open_after(worker: RelayedWorker, transit: Millis) -> Pair {
         let mut pair = Pair {
             now: 1_000,
+            gain: 0,
             dispatcher: Dispatcher::new("leader".into(), EPOCH, LEASE),
             relay: Relay::default(),
             session: 0,
@@ -85,12 +88,12 @@
         pair.now += transit;
         let accepted = pair.give(orders).expect("the first orders are accepted");
         assert_eq!(accepted.assigned, vec![Name::from("w")]);
-        pair.exchange();
+        pair.exchange_after(transit);
         pair
     }
 
     fn local(&self) -> Millis {
-        self.now + SKEW
+        self.now + SKEW + self.gain
     }
 
     fn take_orders(&mut self) -> Orders {
@@ -116,9 +119,18 @@
     }
 
     fn exchange(&mut self) -> Received {
+        self.exchange_after(0)
+    }
+
+    /// Delivers the report that is due, and the leader's reply after `transit`.
+    fn exchange_after(&mut self, transit: Millis) -> Received {
         self.now += 250;
         let report = self.take_report();
-        self.deliver(&report).0
+        let (received, reply) = self.dispatcher.on_report(report.clone(), VALID, self.now);
+        self.now += transit;
+        let local = self.local();
+        self.relay.on_report_reply(&report, Some(reply), local);
+        received
     }
 
     fn poll(&mut self) -> Poll {
@@ -129,7 +141,7 @@
     fn reply(&mut self, sent: Millis, reply: Result<PollReply, WorkerError>) {
         let (session, local) = (self.session, self.local());
         let poll = Poll { token: EPOCH, acked: 0, deadline: None, wait: 0 };
-        self.relay.on_poll(session, &"w".into(), sent + SKEW, &poll, reply, local);
+        self.relay.on_poll(session, &"w".into(), sent + SKEW + self.gain, &poll, reply, local);
     }
 
     /// Has the leader tell the relay what it knows of the worker.
@@ -612,3 +624,33 @@
     );
     assert_eq!(pair.exchange().polls[0].0.token, sent.token);
 }
+
+/// Guards against two runs of a task: the clocks of leader and relay had drifted apart in a long
+/// session, so that a list seemed to have been requested after a start that it lacks.
+#[test]
+fn a_poll_is_not_dated_late_once_clocks_have_drifted_apart() {
+    let mut pair = Pair::open(true);
+    for _ in 0..60 {
+        pair.now += 4_000;
+        pair.gain += 1;
+        pair.exchange();
+    }
+    let sent = pair.now;
+    pair.reply(sent, Ok(list(500, 1, Vec::new())));
+    let sent_at = pair.exchange().polls[0].0.sent_at;
+    assert!(sent_at <= sent, "dated {} ms late", sent_at.saturating_sub(sent));
+}
+
+/// Guards against completions that are lost: a worker had restarted between two polls and refused the
+/// second, whose reply was taken for one of the earlier incarnation.
+#[test]
+fn a_refusal_is_no_evidence_of_the_incarnation() {
+    for why in [Refusal::Unhealthy, Refusal::Fence] {
+        let mut pair = Pair::open_with(RelayedWorker { acked: 7, ..worker("w", true) });
+        pair.reply(pair.now, Ok(list(90_000, 1, Vec::new())));
+        pair.exchange();
+        assert_eq!((pair.poll().acked, pair.poll().deadline.is_some()), (7, true), "{why:?}");
+        pair.reply(pair.now, Err(WorkerError::Refused(why, Some(40))));
+        assert_eq!((pair.poll().acked, pair.poll().deadline), (0, None), "{why:?}");
+    }
+}
