Each stop sent before a restart is answered by the earlier life

Callers would see a task run twice: two stops of one run were on their way when its worker restarted (a start in doubt is followed up, then its gang is broken); the earlier life's reply to the second counted for the new one, which could still carry out the start.

Cause: whether a stop was outdated was a flag of the run, which the first reply took.

Change: a run counts the stops on their way; as many replies as were on their way at the restart are not believed, and the next stop goes out after them, so that replies can't be taken for each other.

Ruled out: raising the token at each restart (refuses sound starts in flight).

--- a/crates/lead/src/commands.rs
+++ b/crates/lead/src/commands.rs
@@ -22,6 +22,7 @@
         let addr = worker.addr();
         let Some(run) = worker.runs.get_mut(id) else { return };
         run.in_flight = true;
+        run.stops_sent += 1;
         let stop = Stop { task: id.clone(), run: run.run_id, token };
         self.commands.push(Command::Stop(addr, stop));
     }
@@ -129,8 +130,10 @@
         let (id, run_id) = (&stop.task, stop.run);
         let Some(worker) = self.workers.get_mut(name) else { return };
         let Some(run) = worker.runs.get_mut(id).filter(|run| run.run_id == run_id) else { return };
-        run.in_flight = false;
-        let outdated = std::mem::take(&mut run.stop_outdated);
+        run.stops_sent = run.stops_sent.saturating_sub(1);
+        run.in_flight = run.stops_sent > 0;
+        let outdated = run.stops_outdated > 0;
+        run.stops_outdated = run.stops_outdated.saturating_sub(1);
         match reply {
             Ok(_) if outdated => run.retry_at = now.mono,
             Ok(clock) => {
--- a/crates/lead/src/run.rs
+++ b/crates/lead/src/run.rs
@@ -50,9 +50,11 @@
     pub retry_at: Millis,
     /// Whether a command for the run awaits its reply.
     pub in_flight: bool,
-    /// Whether that is a stop sent before the worker's last restart, which an earlier incarnation
-    /// may confirm.
-    pub(crate) stop_outdated: bool,
+    /// Number of stop commands that await their replies.
+    pub(crate) stops_sent: u32,
+    /// How many of these were sent before the worker's last restart, so that an earlier incarnation
+    /// may confirm them.
+    pub(crate) stops_outdated: u32,
     /// Completed work, in percent.
     pub percent: u32,
     /// When `percent` last changed.
@@ -86,7 +88,8 @@
             crash: None,
             retry_at: 0,
             in_flight: true,
-            stop_outdated: false,
+            stops_sent: 0,
+            stops_outdated: 0,
             percent: 0,
             progress_at: now,
             metric: 0,
@@ -96,10 +99,11 @@
     }
 
     /// Marks the stop command as unconfirmed by the new incarnation of the worker, so that it is
-    /// sent again; where it has no reply yet, after that.
+    /// sent again, once those on their way have their replies.
     pub(crate) fn resend_stop(&mut self, now: Millis) {
         self.confirmed_at = 0;
-        self.stop_outdated = self.in_flight;
+        self.stops_outdated = self.stops_sent;
+        self.in_flight = self.stops_sent > 0;
         self.retry_at = now;
     }
 
--- a/crates/lead/tests/restart.rs
+++ b/crates/lead/tests/restart.rs
@@ -335,6 +335,38 @@
     }
 }
 
+/// Guards against two runs of a task: two stops of a gang's member were on their way when its worker
+/// restarted, and the earlier incarnation's reply to the second counted for the new one.
+#[test]
+fn the_second_of_two_outdated_confirmations_does_not_count_either() {
+    let mut fleet = Fleet::open(2);
+    fleet.accept("a", with_gang(2, true));
+    let starts = fleet.starts();
+    let (first, second) = (&starts[0], &starts[1]);
+    fleet.reply_start(first, Err(WorkerError::InDoubt("timeout".into())));
+    fleet.advance(300);
+    assert_eq!(fleet.stops().len(), 1, "the start is followed up");
+    fleet.reply_start(second, Err(WorkerError::Refused(Refusal::Room, None)));
+    assert_eq!(fleet.stops().len(), 1, "the gang is broken");
+    fleet.restart(&first.0, RESTARTED);
+    fleet.store();
+    fleet.reply_stop(first, Ok(1));
+    fleet.reply_stop(first, Ok(1));
+    fleet.advance(10);
+    let other = if &*first.0 == "w0" { "w1" } else { "w0" };
+    for _ in 0..2 {
+        let now = fleet.now();
+        fleet.list_since(&first.0, now, RESTARTED, &[]);
+        fleet.list(other, &[], &[]);
+        fleet.advance(300);
+    }
+    let commands = fleet.commands();
+    let is_start = |command: &Command| matches!(command, Command::Start(..));
+    assert!(!commands.iter().any(is_start), "it may still be carried out");
+    let is_stop = |command: &Command| matches!(command, Command::Stop(..));
+    assert!(commands.iter().any(is_stop), "the new incarnation is told");
+}
+
 /// Guards against a task that waits for ever: refusals of another worker at the address of a lost
 /// one were taken for replies of the lost one.
 #[test]
