--- a/crates/lead/tests/handover.rs
+++ b/crates/lead/tests/handover.rs
@@ -463,6 +463,33 @@
     }
 }
 
+/// Guards against tasks that start before their time: a run of an occurrence that is not due yet, which
+/// an earlier leader began by a clock that was ahead, made the leader start all tasks up to it.
+#[test]
+fn a_run_listed_before_its_time_does_not_make_others_start_before_theirs() {
+    const INTERVAL: Millis = 60_000;
+    let start = NOW.unix + 500;
+    let repeat = Repeat { count: 4, start, interval: INTERVAL };
+    let size = Size { cpu: 1_000, memory: 100, accel: 0 };
+    let steps = vec![Step { size, ..step(2) }];
+    let spec = Spec { text: "t".into(), steps, repeat: Some(repeat) };
+    let mut fleet = Fleet::open(4);
+    fleet.accept("a", spec);
+    fleet.advance(500 + 3 * INTERVAL);
+    fleet.list_all();
+    let starts = fleet.starts();
+    let sent = starts.iter().find(|(_, sent)| sent.task.occurrence == 3).expect("begun").clone();
+    fleet.behind = 3 * INTERVAL;
+    fleet.take_over();
+    fleet.meet_with(&sent);
+    fleet.advance(60);
+    fleet.list_all();
+    let unix = fleet.time().unix;
+    let due = |sent: &Sent| start + u64::from(sent.1.task.occurrence) * INTERVAL;
+    let early = fleet.starts().into_iter().filter(|sent| due(sent) > unix + 5_000).count();
+    assert_eq!(early, 0);
+}
+
 /// Returns a fleet of two workers, w1 of which has confirmed the start of the only task.
 fn fleet_with_run() -> (Fleet, Sent) {
     let mut fleet = Fleet::open(2);
