A draining worker leaves the log once the earlier leader's commands are over

Change: a draining worker is taken out of the log as soon as a list without runs has been requested 3 s after the takeover or later: what the earlier leader had ordered has been carried out by then and would be listed, also after a restart.

Ruled out: any list of the present life, as soon as it is there (a restart beside the claim, reached by the earlier leader only).

--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -144,6 +144,9 @@
     model_saved: Millis,
     /// When the leases granted by earlier leaders have certainly expired.
     pub(crate) settle_deadline: Millis,
+    /// When the commands of earlier leaders have certainly been carried out, but for those that
+    /// are late by more than the time for a reply.
+    pub(crate) commands_end: Millis,
     /// The same on workers that have restarted under an earlier leader, which may have granted them
     /// the longest lease.
     pub(crate) long_leases_end: Millis,
@@ -193,6 +196,7 @@
             raise_count: 0,
             model_saved: now.mono,
             settle_deadline: now.mono + wait as Millis,
+            commands_end: now.mono + bounds.isolation_limit + MAX_REPLY_TIME,
             long_leases_end: now.mono
                 + bounds.isolation_limit
                 + MAX_REPLY_TIME
--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -256,6 +256,7 @@
         // Replies may arrive out of order.
         let stale = reply.clock < worker.list_clock;
         worker.list_clock = worker.list_clock.max(reply.clock);
+        worker.listed_since = worker.listed_since.max(sent);
         let full = reply.completions.len() >= MAX_LISTED_COMPLETIONS;
         for completion in reply.completions {
             let Some(worker) = self.workers.get_mut(id) else { return };
--- a/crates/lead/src/restart.rs
+++ b/crates/lead/src/restart.rs
@@ -29,6 +29,7 @@
         worker.synced = false;
         worker.clock = None;
         worker.list_clock = 0;
+        worker.listed_since = 0;
         worker.lease_expiry = 0;
         worker.last_completion = 0;
         worker.acked = 0;
--- a/crates/lead/src/watch.rs
+++ b/crates/lead/src/watch.rs
@@ -18,7 +18,7 @@
             self.retry_stops(&id, now);
             self.expire(&id, now, unclaimed_at);
             self.record_long_leases(&id, now);
-            self.drain(&id, now);
+            self.drain(&id);
             self.forget(&id, now);
         }
     }
@@ -69,7 +69,7 @@
 
     /// Stops runs on a draining worker: service tasks at once, the others shortly before it
     /// leaves.
-    fn drain(&mut self, id: &Name, now: Now) {
+    fn drain(&mut self, id: &Name) {
         let Some(worker) = self.workers.get(id).filter(|worker| worker.info.draining) else {
             return;
         };
@@ -80,17 +80,18 @@
         for task in moves {
             self.stop(id, &task, "worker_draining");
         }
-        self.retire(id, now);
+        self.retire(id);
     }
 
     /// Deletes the record of a draining worker that has listed no runs, so that the next leader
-    /// does not wait for it. An earlier leader may start runs there if it restarts unnoticed.
-    fn retire(&mut self, id: &Name, now: Now) {
-        if self.settles_by_time(now) {
-            return;
-        }
-        let Some(worker) = self.workers.get_mut(id).filter(|worker| worker.synced) else { return };
-        if worker.runs.is_empty()
+    /// does not wait for it. An earlier leader may have started runs there after an earlier list if
+    /// it has restarted unnoticed.
+    fn retire(&mut self, id: &Name) {
+        let commands_end = self.commands_end;
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if worker.synced
+            && worker.listed_since >= commands_end
+            && worker.runs.is_empty()
             && worker.unconfirmed_starts.is_empty()
             && worker.record_batch.take().is_some()
         {
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -52,6 +52,8 @@
     pub synced: bool,
     /// Last reading of the worker clock and when it was received.
     pub clock: Option<(Millis, Millis)>,
+    /// When the newest list of its present incarnation was requested; 0 if there is none.
+    pub(crate) listed_since: Millis,
     /// Worker clock of the newest list of runs.
     pub list_clock: Millis,
     /// Latest lease expiry sent to it, on the worker clock; 0 if none was.
@@ -136,6 +138,7 @@
             service_cpu: 0,
             synced: false,
             clock: None,
+            listed_since: 0,
             list_clock: 0,
             lease_expiry: 0,
             earlier_leases_end: 0,
--- a/crates/lead/tests/handover.rs
+++ b/crates/lead/tests/handover.rs
@@ -215,6 +215,7 @@
         fleet.store();
         // The leases that earlier leaders and this one have granted have expired.
         fleet.advance(20_000);
+        fleet.list_all();
         fleet.commands();
         fleet.store();
         case.changes.iter().for_each(|change| change(&mut fleet));
@@ -283,6 +284,15 @@
             },
             known: true,
         },
+        Case {
+            name: "drains, listed once the earlier leader's commands have been carried out",
+            events: &|fleet| {
+                fleet.advance(3_000);
+                fleet.meet_all();
+                fleet.drain("w0");
+            },
+            known: false,
+        },
         Case {
             name: "drains, listed once no earlier leader may act",
             events: &|fleet| {
