Log lines that tell why accepted work does not run

Cause: a task that waits for an isolated worker, or for the runs of an earlier leader, was reported as why=order; nothing said what the leader does about a task that doesn't run.

No decision is changed.

--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     Worker,
+    audit::Phases,
     crashes::Return,
     interference::InterferenceModel,
     journal::Journal,
@@ -162,6 +163,8 @@
     pub(crate) isolated: BTreeSet<Name>,
     /// Crashes of workers that came back recently.
     pub(crate) returns: Vec<Return>,
+    /// Phases of the tasks at the last audit.
+    pub(crate) phases: Phases,
 }
 
 impl Lead {
@@ -207,6 +210,7 @@
             suspects: BTreeSet::new(),
             isolated: BTreeSet::new(),
             returns: Vec::new(),
+            phases: Phases::new(),
         };
         lead.restore(items, now);
         lead
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -2,6 +2,7 @@
 //! steps that [`Lead::tick`] runs over them. The crate does no I/O and reads no clock: events
 //! and the time are passed in, and commands to carry out are returned.
 
+mod audit;
 mod commands;
 mod completions;
 mod crashes;
@@ -27,6 +28,7 @@
 mod worker;
 
 pub use crate::{
+    audit::{Audit, PhaseCount, TaskPhase},
     journal::{Batch, MEMBERS, OWNER},
     lead::{Bounds, Command, Lead, Submitted},
     load::reset_load_metrics,
--- a/crates/lead/src/load.rs
+++ b/crates/lead/src/load.rs
@@ -134,6 +134,7 @@
             jobs_waiting = self.waiting.len()
         );
         self.report_waits(now);
+        self.report_audit(now);
     }
 
     fn fleet_load(&self, now: Now) -> FleetLoad {
--- a/crates/lead/src/waits.rs
+++ b/crates/lead/src/waits.rs
@@ -35,6 +35,11 @@
     Ticket,
     /// A worker has enough free capacity, but is reserved for a step that has waited longer.
     Reserved,
+    /// A worker has enough free capacity, but the task may crash it and waits for an isolated one.
+    Isolation,
+    /// A worker has enough free capacity, but a run that an earlier leader started may still be
+    /// going on.
+    Takeover,
     /// A worker has enough free capacity; other jobs come first in the scheduling order.
     SchedulingOrder,
 }
@@ -51,6 +56,8 @@
             WaitReason::Interference => "harm",
             WaitReason::Ticket => "ticket",
             WaitReason::Reserved => "reserved",
+            WaitReason::Isolation => "isolation",
+            WaitReason::Takeover => "takeover",
             WaitReason::SchedulingOrder => "order",
         }
     }
@@ -61,6 +68,8 @@
 pub struct WaitStatus {
     /// Number of waiting tasks.
     pub tasks: usize,
+    /// How many of them may crash their workers and wait for isolated ones.
+    pub suspects: usize,
     /// Requested size of each task.
     pub size: Size,
     /// Time since the first of them was queued, in milliseconds.
@@ -163,12 +172,16 @@
     pub fn wait_status(&self, id: &StepId, now: Now) -> Option<WaitStatus> {
         let tasks = self.waiting.get(&id.job)?;
         let of_step = |task: &&TaskId| (task.occurrence, task.step) == (id.occurrence, id.step);
-        let first = tasks.iter().find(of_step)?;
+        let suspects = tasks.iter().filter(of_step).filter(|task| self.suspects.contains(*task));
+        let suspects = suspects.count();
+        // The reason of a task that may run anywhere is the one that would hold up the others, too.
+        let free = |task: &&TaskId| of_step(task) && !self.suspects.contains(*task);
+        let first = tasks.iter().find(free).or_else(|| tasks.iter().find(of_step))?;
         let tasks = tasks.iter().filter(of_step).count();
         let step = self.jobs.get(&id.job)?.step(first)?;
         let (size, waited) = (step.size, self.waited(id, now));
         let (reason, free_max, free_total) = self.explain_wait(first, tasks, now)?;
-        Some(WaitStatus { tasks, size, waited, reason, free_max, free_total })
+        Some(WaitStatus { tasks, suspects, size, waited, reason, free_max, free_total })
     }
 
     /// Returns why a task waits, and the largest and the total free CPU of the workers it may
@@ -182,7 +195,17 @@
         for worker in matching {
             scan.add(worker, &req, self.reserved(&worker.info.id, id, now));
         }
-        Some((scan.reason(&req, tasks), scan.free_max, scan.free_total))
+        let reason = match scan.reason(&req, tasks) {
+            _ if scan.available > 0 && self.is_held_for_earlier(id) => WaitReason::Takeover,
+            _ if scan.available > 0 && self.suspects.contains(id) => WaitReason::Isolation,
+            reason => reason,
+        };
+        Some((reason, scan.free_max, scan.free_total))
+    }
+
+    /// Whether a task waits until the runs of earlier leaders are known.
+    fn is_held_for_earlier(&self, id: &TaskId) -> bool {
+        !self.settled && self.jobs.get(&id.job).is_some_and(|job| job.inherited)
     }
 
     /// Logs why the steps with the longest waits are waiting.
@@ -218,6 +241,7 @@
             kind = kind,
             queue = job.queue.name,
             tasks = wait.tasks,
+            suspects = wait.suspects,
             cpu = wait.size.cpu,
             memory = wait.size.memory,
             ms = wait.waited,
--- a/crates/lead/tests/waits.rs
+++ b/crates/lead/tests/waits.rs
@@ -111,3 +111,22 @@
         assert!((300..700).contains(&wait.waited), "{}: {} ms", case.name, wait.waited);
     }
 }
+
+/// A task that waited for the runs of an earlier leader was reported as waiting for its turn.
+#[test]
+fn an_inherited_task_waits_for_the_takeover() {
+    let mut fleet = Fleet::open(3);
+    fleet.accept("a", spec(step(1, 1_000)));
+    fleet.take_over();
+    for id in ["w0", "w1"] {
+        fleet.record(id, Some(fleet::info(id)));
+        fleet.list(id, &[], &[]);
+    }
+    fleet.store();
+    fleet.advance(100);
+    assert!(fleet.starts().is_empty(), "a start before the takeover has settled");
+    let id = StepId { job: "a".into(), occurrence: 0, step: 0 };
+    let now = Now { mono: fleet.now(), unix: NOW.unix };
+    let wait = fleet.lead.wait_status(&id, now).expect("a waiting task");
+    assert_eq!(wait.reason, WaitReason::Takeover);
+}
