Suspects of crashes wait no longer than a second for isolation

Cause: each task that was young on a crashed worker could only start where no other run could be blamed, one at a time on a tenth of the workers at the most, in the order of identifiers. The queue drained at a constant rate, however many had crashed together and however idle the rest was. Evidence against N tasks of one worker was taken as if it were against each of them, and two crashes of one machine, which may crash by itself, as if they were of two.

Change (docs/PLATFORM-DESIGN.md, "Tasks that crash their workers"): a suspect that has waited for a second shares a worker with three others, and half of the workers may be isolated for these if they are idle; the oldest come first; workers are polled at the end of a probation. Tasks that crashes have singled out still run alone, one a job at a time, and not on a machine that has crashed under them. What proves a task deadly is counted by machines, takes more where workers crash often under other tasks, and a crash that was one of many is recorded as such for the next leader. A reading of the worker clock clears a run as a list does. crashes.rs is split: evidence.rs judges, isolation.rs places.

Both at once, since the same evidence decides both: with wider isolation alone, two of the four tests of crashes.rs failed (a rack that crashes three times gave up a sound job, a deadly task was started six times).

--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -10,7 +10,7 @@
 use crate::{
     Worker,
     audit::Phases,
-    crashes::Return,
+    evidence::Return,
     interference::InterferenceModel,
     journal::Journal,
     policy::StepPolicy,
--- a/crates/lead/src/place.rs
+++ b/crates/lead/src/place.rs
@@ -137,6 +137,8 @@
         let (epoch, lease) = (self.epoch, self.bounds.lease);
         let ticket = self.ticket(id, name, now).unwrap_or_default();
         let waited = self.waited(&id.step_id(), now);
+        let suspect = self.suspects.contains(id);
+        let alone = suspect && self.starts_alone(id, now);
         let Some(job) = self.jobs.get_mut(&id.job) else { return };
         let Some(step) = job.step(id).cloned() else { return };
         let text = job.spec.text.clone();
@@ -150,8 +152,7 @@
         let clock = worker.clock_now(now.mono).unwrap_or(0);
         let deadline = clock + lease;
         worker.lease_expiry = worker.lease_expiry.max(deadline);
-        let suspect = self.suspects.contains(id);
-        worker.add(id.clone(), Run { suspect, ..Run::starting(run_id, &step, now.mono) });
+        worker.add(id.clone(), Run { suspect, alone, ..Run::starting(run_id, &step, now.mono) });
         let start =
             Start { task: id.clone(), run: run_id, text, deadline, token, checkpoint, ticket };
         self.commands.push(Command::Start(worker.addr(), start));
--- a/crates/lead/src/run.rs
+++ b/crates/lead/src/run.rs
@@ -42,6 +42,8 @@
     pub(crate) since: Option<Millis>,
     /// Whether its task was a suspect when it started.
     pub(crate) suspect: bool,
+    /// Whether no other run that may crash the worker may start beside it.
+    pub(crate) alone: bool,
     /// Whether it has run for long enough to show that it does not crash its worker.
     pub(crate) proven: bool,
     /// Crash of its worker that it caused, unless the next incarnation has it.
@@ -84,6 +86,7 @@
             incarnation: None,
             since: None,
             suspect: false,
+            alone: false,
             proven: false,
             crash: None,
             retry_at: 0,
--- a/crates/lead/src/search.rs
+++ b/crates/lead/src/search.rs
@@ -179,7 +179,7 @@
         let usable = worker.usable(self.durable_batch(), now.mono) && req.accepts(worker);
         let ticket = || !req.needs_ticket || self.ticket(id, &worker.info.id, now).is_some();
         let reserved = self.reserved(&worker.info.id, id, now);
-        if !usable || reserved || !self.may_share(id, worker) || !ticket() {
+        if !usable || reserved || !self.may_share(id, worker, now) || !ticket() {
             return None;
         }
         let interference = |service_image: &Name| match losses.get(service_image) {
@@ -276,6 +276,12 @@
             && label.is_none_or(|label| worker.info.labels.contains(label))
     }
 
+    /// Returns the capacity that a run of the task takes up; a best-effort one takes up no CPU.
+    pub(crate) fn allocation(&self) -> Size {
+        let size = self.step.size;
+        if self.step.best_effort { Size { cpu: 0, ..size } } else { size }
+    }
+
     /// Whether the task fits into the free capacity of a worker. Nothing fits on one that is
     /// over its size.
     pub(crate) fn fits_on(&self, worker: &Worker) -> bool {
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -98,6 +98,8 @@
     pub(crate) crashed: bool,
     /// Runs of this incarnation whose leases have expired and that may have crashed it.
     pub(crate) lost: Vec<(TaskId, u64)>,
+    /// When it was last polled for runs of suspects.
+    pub(crate) probation_polled_at: Millis,
     /// Consecutive failed runs.
     pub failures: u32,
     /// When best-effort tasks on it were last moved or throttled.
@@ -158,6 +160,7 @@
             leaving: false,
             crashed: false,
             lost: Vec::new(),
+            probation_polled_at: 0,
             failures: 0,
             adjusted_at: 0,
             target_missed: false,
--- a/crates/lead/tests/crashes.rs
+++ b/crates/lead/tests/crashes.rs
@@ -338,3 +338,30 @@
         }
     }
 }
+
+/// A worker that had crashed under a task got it again, and again, since it was empty: crashes of
+/// one machine prove nothing about the task.
+#[test]
+fn a_suspect_starts_on_a_machine_that_has_not_crashed_under_it() {
+    for renamed in [false, true] {
+        let mut fleet = Fleet::open(3);
+        fleet.accept("a", fleet_spec(Step { count: 1, ..Step::default() }));
+        let sent = fleet.starts().remove(0);
+        fleet.reply_start(&sent, Ok(1));
+        if renamed {
+            fleet.replace(&sent.0)
+        } else {
+            fleet.crash(&sent.0)
+        }
+        let first = fleet.lead.workers[&sent.0].info.addr;
+        let mut starts = Vec::new();
+        for _ in 0..200 {
+            fleet.store();
+            fleet.advance(50);
+            fleet.list_all();
+            starts.extend(fleet.starts());
+        }
+        let again = starts.first().expect("a second start");
+        assert_ne!(fleet.lead.workers[&again.0].info.addr, first, "renamed: {renamed}");
+    }
+}
--- a/crates/lead/tests/waits.rs
+++ b/crates/lead/tests/waits.rs
@@ -130,3 +130,22 @@
     let wait = fleet.lead.wait_status(&id, now).expect("a waiting task");
     assert_eq!(wait.reason, WaitReason::Takeover);
 }
+
+/// A task that waited for an isolated worker was reported as waiting for its turn.
+#[test]
+fn a_task_that_may_crash_its_worker_waits_for_isolation() {
+    let mut fleet = Fleet::open(1);
+    fleet.accept("a", spec(step(3, 1_000)));
+    for sent in fleet.starts() {
+        fleet.reply_start(&sent, Ok(1));
+    }
+    fleet.crash("w0");
+    fleet.store();
+    fleet.advance(50);
+    fleet.list_all();
+    assert_eq!(fleet.starts().len(), 1, "one task is on probation at a time");
+    let id = StepId { job: "a".into(), occurrence: 0, step: 0 };
+    let now = Now { mono: fleet.now(), unix: NOW.unix };
+    let wait = fleet.lead.wait_status(&id, now).expect("waiting tasks");
+    assert_eq!((wait.reason, wait.tasks, wait.suspects), (WaitReason::Isolation, 2, 2));
+}
