An adopted run that has made progress is not blamed for a crash

Cause: a new leader counts 300 ms from its own first list, so that all runs that it had just adopted were young, however long they had run.

Change: an adopted run is proven once it has made progress, which a task that crashes its worker never does.

Test: an_adopted_run_that_has_made_progress_is_not_blamed failed before ("at work": one crash recorded).

--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -353,6 +353,8 @@
             started_at: 0,
             confirmed_at: now.mono,
             in_flight: false,
+            // A task that crashes its worker does so before it makes progress.
+            proven: row.percent > 0,
             percent: row.percent,
             metric: row.metric,
             throttle: u32::MAX,
--- a/crates/lead/tests/crashes.rs
+++ b/crates/lead/tests/crashes.rs
@@ -339,6 +339,33 @@
     }
 }
 
+/// A crash soon after a change of leader blamed all runs that the new leader had adopted, however
+/// long they had run.
+#[test]
+fn an_adopted_run_that_has_made_progress_is_not_blamed() {
+    struct Case {
+        name: &'static str,
+        percent: u32,
+        crashes: usize,
+    }
+    let cases = [
+        Case { name: "just started", percent: 0, crashes: 1 },
+        Case { name: "at work", percent: 40, crashes: 0 },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::open(2);
+        fleet.accept("a", fleet_spec(Step { count: 1, ..Step::default() }));
+        let sent = fleet.starts().remove(0);
+        fleet.reply_start(&sent, Ok(1));
+        fleet.take_over();
+        fleet.record(&sent.0, Some(fleet::info(&sent.0)));
+        fleet.list_at(&sent.0, &sent.1, case.percent);
+        fleet.crash(&sent.0);
+        let task = fleet.lead.jobs["a"].task(&task("a", 0)).expect("a task");
+        assert_eq!(task.crashes.len(), case.crashes, "{}", case.name);
+    }
+}
+
 /// A worker that had crashed under a task got it again, and again, since it was empty: crashes of
 /// one machine prove nothing about the task.
 #[test]
