--- a/crates/lead/tests/world/worker.rs
+++ b/crates/lead/tests/world/worker.rs
@@ -53,6 +53,8 @@
     /// Size before it last changed, and when it did.
     resized: (Size, Millis),
     incarnation: Millis,
+    /// Time by which its time of day was ahead at its start.
+    pub(crate) ahead: Millis,
     /// Expiry of the leases on the worker clock.
     lease_expiry: Millis,
     /// Completions that have not been acknowledged.
@@ -63,6 +65,8 @@
     /// Tasks whose runs have failed since the simulation last drained the list.
     pub(crate) failed: Vec<TaskId>,
     port: u16,
+    /// Factor by which its runs take longer.
+    pub(crate) slowdown: u64,
 }
 
 impl FakeWorker {
@@ -77,12 +81,14 @@
             size: Size { cpu, memory: 2 * cpu, accel: 0 },
             resized: (Size::ZERO, 0),
             incarnation: 1,
+            ahead: 0,
             lease_expiry: 0,
             completions: Vec::new(),
             last_number: 0,
             closed_runs: BTreeMap::new(),
             failed: Vec::new(),
             port: n as u16 + 1,
+            slowdown: 1,
         }
     }
 
@@ -96,10 +102,15 @@
             labels: vec!["a".into(), "r".into()],
             draining: false,
             remaining: None,
-            incarnation: UNIX_OFFSET + self.incarnation,
+            incarnation: self.named_start(),
         }
     }
 
+    /// Returns the time of its start by its own time of day.
+    fn named_start(&self) -> Millis {
+        UNIX_OFFSET + self.incarnation + self.ahead
+    }
+
     pub(crate) fn resize(&mut self, cpu: u64, now: Millis) {
         self.resized = (self.size, now);
         self.size.cpu = cpu;
@@ -127,6 +138,7 @@
             down_until,
             unreachable_until: self.unreachable_until,
             port: self.port,
+            slowdown: self.slowdown,
             ..fresh
         };
     }
@@ -216,7 +228,7 @@
             run: start.run,
             cpu: step.size.cpu,
             started_at: now,
-            ends_at: now + step.estimate,
+            ends_at: now + step.estimate * self.slowdown,
             fails,
             long_running: step.long_running,
             stopping: false,
@@ -262,7 +274,7 @@
             self.completions.iter().filter(|completion| completion.number > request.acked).cloned();
         Ok(PollReply {
             clock,
-            incarnation: Some(UNIX_OFFSET + self.incarnation),
+            incarnation: Some(self.named_start()),
             running: running.collect(),
             completions: unacked.collect(),
         })
