Steps use the workers reserved for them

Cause: a pass over the queue skips a step once a step of the same kind that asks for no more found no place, or 60 steps of the kind did. It took free capacity for the same to all steps, but a reserved worker is open to one step only. That step was skipped for those before it, so that the room made for it stayed empty for the second of the reservation, closed to all others, and was then made anew on another worker.

Change: a job that a worker is reserved for is always tried.

--- a/crates/lead/src/place.rs
+++ b/crates/lead/src/place.rs
@@ -22,7 +22,7 @@
             if !settled && self.jobs.get(&id).is_some_and(|job| job.inherited) {
                 continue;
             }
-            if self.is_blocked(&id, &pass) {
+            if self.is_blocked(&id, &pass, now) {
                 continue;
             }
             let tasks = self.waiting.remove(&id).unwrap_or_default();
@@ -33,8 +33,12 @@
         }
     }
 
-    /// Whether none of a job's waiting tasks can be placed in the rest of this pass.
-    fn is_blocked(&self, id: &Name, pass: &Pass) -> bool {
+    /// Whether none of a job's waiting tasks can be placed in the rest of this pass. Workers that
+    /// are reserved for one of its steps are open to no other.
+    fn is_blocked(&self, id: &Name, pass: &Pass, now: Now) -> bool {
+        if self.holds_reservation(id, now) {
+            return false;
+        }
         let (Some(job), Some(tasks)) = (self.jobs.get(id), self.waiting.get(id)) else {
             return false;
         };
--- a/crates/lead/src/preemption.rs
+++ b/crates/lead/src/preemption.rs
@@ -79,6 +79,11 @@
             && (&step.job, step.occurrence, step.step) != (&id.job, id.occurrence, id.step)
     }
 
+    /// Whether a worker is reserved for a step of a job.
+    pub(crate) fn holds_reservation(&self, job: &Name, now: Now) -> bool {
+        self.reservations.values().any(|r| r.step.job == *job && now.mono < r.until)
+    }
+
     /// Preempts long-running tasks for plain tasks that cannot be placed, and reserves the
     /// workers meanwhile. A long-running task loses only the time of the move, whereas a
     /// plain task that waited for its completion would be late.
--- /dev/null
+++ b/crates/lead/tests/lasting.rs
@@ -0,0 +1,76 @@
+//! Long-running tasks that are down while there is capacity for them.
+
+#[allow(dead_code)]
+mod fleet;
+
+use base::{Name, Size};
+use fleet::{Fleet, Sent};
+use job::{Spec, Step};
+use port::Outcome;
+
+/// Order of the waiting jobs' deadlines: a job with a longer estimate comes later.
+const EARLY: u64 = 20_000;
+const LATE: u64 = 100_000;
+
+fn step(count: u32, cpu: u64, estimate: u64) -> Step {
+    let size = Size { cpu, memory: 100, accel: 0 };
+    Step { count, size, estimate, ..Step::default() }
+}
+
+fn service(count: u32, cpu: u64) -> Step {
+    let step = step(count, cpu, 0);
+    Step { long_running: true, latency_target: 50, image: "web".into(), per_worker: 1, ..step }
+}
+
+fn spec(step: Step) -> Spec {
+    Spec { text: "t".into(), steps: vec![step], repeat: None }
+}
+
+/// Runs a service on workers with 4,000 thousandths of a core each and returns its starts.
+fn run_service(fleet: &mut Fleet, service: Step) -> Vec<Sent> {
+    fleet.accept("s", spec(service));
+    let sent = fleet.starts();
+    for one in &sent {
+        fleet.reply_start(one, Ok(1));
+        fleet.list_at(&one.0, &one.1, 100);
+    }
+    sent
+}
+
+/// Confirms that a run has been stopped, and returns the workers and jobs of the next starts.
+fn starts_after(fleet: &mut Fleet, stopped: &Sent) -> Vec<(Name, Name)> {
+    fleet.list(&stopped.0, &[], &[(1, &stopped.1, Outcome::Stopped)]);
+    fleet.starts().into_iter().map(|(worker, start)| (worker, start.task.job)).collect()
+}
+
+/// Guards against capacity that stays reserved for a step and unused while long-running tasks are
+/// down: the step was skipped for lack of capacity elsewhere.
+#[test]
+fn a_step_uses_the_worker_reserved_for_it_whatever_others_lack() {
+    struct Case {
+        name: &'static str,
+        /// Jobs that come first in the scheduling order and cannot be placed.
+        ahead: usize,
+        step: Step,
+    }
+    let cases = [
+        Case { name: "a smaller step", ahead: 1, step: step(1, 2_800, EARLY) },
+        Case {
+            name: "many steps",
+            ahead: 60,
+            step: Step { requires: Some("a".into()), ..step(1, 2_800, EARLY) },
+        },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::open(3);
+        let sent = run_service(&mut fleet, service(3, 2_500));
+        fleet.accept("large", spec(step(1, 3_000, LATE)));
+        let stopped = (0..6).flat_map(|_| fleet.stops()).next().expect("a preempted run");
+        let stopped = sent.iter().find(|(_, s)| s.run == stopped.run).expect("a run");
+        for n in 0..case.ahead {
+            fleet.accept(&format!("ahead-{n}"), spec(case.step.clone()));
+        }
+        let started = starts_after(&mut fleet, stopped);
+        assert_eq!(started, [(stopped.0.clone(), "large".into())], "{}", case.name);
+    }
+}
