Inherited lasting tasks go first once a takeover has settled

Cause: a lasting task goes before plain ones after it has waited for 4 s, and only one worker is reserved at a time while one has waited for 5 s. The waits are in the leader's memory only: each takeover begins them anew, so that a task that has been down for 6.5 s lets all plain jobs go first for 4 s more and workers are reserved by the twentieth.

Change: the wait of a lasting task that began before the takeover had settled counts as long. Nothing is decided before it has settled, as before.

Test: inherited_long_running_tasks_start_before_plain_ones (plain first before).

--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -153,6 +153,8 @@
     pub(crate) long_leases_end: Millis,
     /// Whether the runs of earlier leaders are known, see [`Lead::settled`].
     pub(crate) settled: bool,
+    /// When they became known.
+    pub(crate) settled_at: Millis,
     /// Newest time at which the store had shown that no other VM had claimed.
     pub(crate) unclaimed_at: Millis,
     /// Jobs with occurrences that have not begun.
@@ -205,6 +207,7 @@
                 + MAX_REPLY_TIME
                 + expiry(bounds.max_lease),
             settled: false,
+            settled_at: 0,
             unclaimed_at: now.mono,
             recurring: BTreeSet::new(),
             suspects: BTreeSet::new(),
@@ -446,6 +449,7 @@
             let expired = self.unclaimed_at >= self.settle_deadline.max(last_end.unwrap_or(0));
             self.settled = (all && !self.workers.is_empty()) || expired;
             if self.settled {
+                self.settled_at = now.mono;
                 let silent = self.workers.iter().filter(|(_, worker)| !worker.synced);
                 let silent: Vec<&str> = silent.map(|(id, _)| &**id).take(MAX_NAMES).collect();
                 event!(
--- a/crates/lead/src/preemption.rs
+++ b/crates/lead/src/preemption.rs
@@ -132,13 +132,13 @@
 
     /// Whether a long-running task has waited too long for more than one reservation.
     fn long_running_starved(&self, now: Now) -> bool {
-        let long_running = |id: &StepId| {
-            let step = self.jobs.get(&id.job).and_then(|j| j.spec.steps.get(id.step as usize));
+        self.waiting_since.iter().any(|(id, since)| {
+            let Some(job) = self.jobs.get(&id.job) else { return false };
+            let step = job.spec.steps.get(id.step as usize);
+            let long = now.mono >= since + STARVATION_THRESHOLD;
             step.is_some_and(|step| step.long_running)
-        };
-        self.waiting_since
-            .iter()
-            .any(|(id, since)| now.mono >= since + STARVATION_THRESHOLD && long_running(id))
+                && (long || self.wait_is_inherited(job, *since))
+        })
     }
 
     /// Returns the steps of plain tasks that could not be placed, the longest wait first.
--- a/crates/lead/src/priority.rs
+++ b/crates/lead/src/priority.rs
@@ -45,10 +45,12 @@
     /// in Unix milliseconds: the latest start that meets the objective, or the start of the
     /// wait for long-running and overdue jobs.
     fn urgency(&self, job: &Job, now: Now) -> (Timeliness, Millis) {
-        let since = || now.unix.saturating_sub(self.longest_wait(&job.id, now));
+        let waited = self.longest_wait(&job.id, now);
+        let since = now.unix.saturating_sub(waited);
         if job.spec.steps.iter().any(|step| step.long_running) {
-            let since = since();
-            return match now.unix >= since + LONG_RUNNING_MAX_WAIT {
+            let overdue = waited >= LONG_RUNNING_MAX_WAIT
+                || self.wait_is_inherited(job, now.mono.saturating_sub(waited));
+            return match overdue {
                 true => (Timeliness::Overdue, since),
                 false => (Timeliness::LongRunning, since),
             };
@@ -65,8 +67,8 @@
             _ => Timeliness::Lost,
         };
         let best_effort = job.spec.steps.iter().all(|step| step.best_effort);
-        if timeliness == Timeliness::Lost && !best_effort && now.unix >= since() + LOST_MAX_WAIT {
-            return (Timeliness::Overdue, since());
+        if timeliness == Timeliness::Lost && !best_effort && waited >= LOST_MAX_WAIT {
+            return (Timeliness::Overdue, since);
         }
         (timeliness, (release + objective).saturating_sub(remaining))
     }
--- a/crates/lead/src/waits.rs
+++ b/crates/lead/src/waits.rs
@@ -168,6 +168,12 @@
         of_job.map(|(_, since)| now.mono.saturating_sub(*since)).max().unwrap_or(0)
     }
 
+    /// Whether an inherited job's wait since `since` began under an earlier leader, so that its
+    /// length is not known.
+    pub(crate) fn wait_is_inherited(&self, job: &Job, since: Millis) -> bool {
+        job.inherited && (!self.settled || since <= self.settled_at)
+    }
+
     /// Returns the waiting tasks of a step and the reason; `None` if none wait.
     pub fn wait_status(&self, id: &StepId, now: Now) -> Option<WaitStatus> {
         let tasks = self.waiting.get(&id.job)?;
--- a/crates/lead/tests/lasting.rs
+++ b/crates/lead/tests/lasting.rs
@@ -6,6 +6,7 @@
 use base::{Name, Size};
 use fleet::{Fleet, Sent};
 use job::{Spec, Step};
+use lead::Command;
 use port::Outcome;
 
 /// Order of the waiting jobs' deadlines: a job with a longer estimate comes later.
@@ -74,3 +75,33 @@
         assert_eq!(started, [(stopped.0.clone(), "large".into())], "{}", case.name);
     }
 }
+
+/// Guards against long-running tasks that wait behind plain ones anew after each takeover.
+#[test]
+fn inherited_long_running_tasks_start_before_plain_ones() {
+    struct Case {
+        name: &'static str,
+        takeover: bool,
+        first: &'static str,
+    }
+    let cases = [
+        Case { name: "after a takeover", takeover: true, first: "down" },
+        Case { name: "waiting for less than 4 s", takeover: false, first: "plain" },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::open(1);
+        let sent = run_service(&mut fleet, service(1, 2_500));
+        fleet.accept("down", spec(service(1, 3_000)));
+        fleet.commands();
+        if case.takeover {
+            fleet.take_over();
+            fleet.meet_with(&sent[0]);
+        }
+        fleet.accept("plain", spec(step(1, 3_000, LATE)));
+        fleet.cancel("s");
+        let stops = fleet.commands();
+        assert!(stops.iter().any(|c| matches!(c, Command::Stop(..))), "{}", case.name);
+        let started = starts_after(&mut fleet, &sent[0]);
+        assert_eq!(started, [(sent[0].0.clone(), case.first.into())], "{}", case.name);
+    }
+}
