event=waits names workers isolated for others

Cause: a worker isolated for a suspect counted as available to every other task.

Change: such workers are counted apart; the reason is isolation where nothing else is available. No decision is changed.

Test: a_task_waits_for_the_end_of_an_isolation (order before).

--- a/crates/lead/src/waits.rs
+++ b/crates/lead/src/waits.rs
@@ -35,7 +35,8 @@
     Ticket,
     /// A worker has enough free capacity, but is reserved for a step that has waited longer.
     Reserved,
-    /// A worker has enough free capacity, but the task may crash it and waits for an isolated one.
+    /// A worker has enough free capacity, but is isolated, or the task may crash it and waits for an
+    /// isolated one.
     Isolation,
     /// A worker has enough free capacity, but a run that an earlier leader started may still be
     /// going on.
@@ -94,14 +95,17 @@
     enough_capacity: usize,
     /// Workers that meet all requirements but are reserved for other steps.
     reserved: usize,
-    /// Workers that meet all requirements and are not reserved.
+    /// Workers that meet all requirements but that the task may not share, because either may crash
+    /// the other.
+    isolated: usize,
+    /// Workers that meet all requirements and are neither.
     available: usize,
     free_max: u64,
     free_total: u64,
 }
 
 impl CapacityScan {
-    fn add(&mut self, worker: &Worker, req: &Requirements<'_>, reserved: bool) {
+    fn add(&mut self, worker: &Worker, req: &Requirements<'_>, reserved: bool, shared: bool) {
         let free = worker.free_cpu(req.step.best_effort);
         self.workers += 1;
         self.large_enough += usize::from(req.step.size.fits(worker.info.size));
@@ -109,7 +113,8 @@
         self.enough_capacity += usize::from(req.fits_on(worker));
         let accepted = req.accepts(worker);
         self.reserved += usize::from(accepted && reserved);
-        self.available += usize::from(accepted && !reserved);
+        self.isolated += usize::from(accepted && !reserved && !shared);
+        self.available += usize::from(accepted && !reserved && shared);
         self.free_max = self.free_max.max(free);
         self.free_total = self.free_total.saturating_add(free);
     }
@@ -121,6 +126,7 @@
             () if self.available > 0 && req.step.best_effort => WaitReason::Interference,
             () if self.available > 0 && req.needs_ticket => WaitReason::Ticket,
             () if self.available > 0 => WaitReason::SchedulingOrder,
+            () if self.isolated > 0 => WaitReason::Isolation,
             () if self.reserved > 0 => WaitReason::Reserved,
             () if self.enough_capacity > 0 => WaitReason::PerWorkerLimit,
             () if self.enough_cpu > 0 => WaitReason::Memory,
@@ -199,10 +205,13 @@
             self.workers.values().filter(|w| w.usable(stored, now.mono) && req.matches(w));
         let mut scan = CapacityScan::default();
         for worker in matching {
-            scan.add(worker, &req, self.reserved(&worker.info.id, id, now));
+            let reserved = self.reserved(&worker.info.id, id, now);
+            scan.add(worker, &req, reserved, self.may_share(id, worker));
         }
         let reason = match scan.reason(&req, tasks) {
-            _ if scan.available > 0 && self.is_held_for_earlier(id) => WaitReason::Takeover,
+            _ if scan.available + scan.isolated > 0 && self.is_held_for_earlier(id) => {
+                WaitReason::Takeover
+            }
             _ if scan.available > 0 && self.suspects.contains(id) => WaitReason::Isolation,
             reason => reason,
         };
--- a/crates/lead/tests/waits.rs
+++ b/crates/lead/tests/waits.rs
@@ -130,3 +130,24 @@
     let wait = fleet.lead.wait_status(&id, now).expect("a waiting task");
     assert_eq!(wait.reason, WaitReason::Takeover);
 }
+
+/// A task that waited beside workers isolated for others was reported as waiting for its turn.
+#[test]
+fn a_task_waits_for_the_end_of_an_isolation() {
+    let mut fleet = Fleet::open(1);
+    fleet.accept("a", spec(step(1, 1_000)));
+    fleet.start_all();
+    fleet.crash("w0");
+    let suspect = (0..30).find_map(|_| {
+        fleet.store();
+        fleet.starts().pop()
+    });
+    assert!(suspect.is_some(), "no start on an isolated worker");
+    fleet.accept("b", spec(step(1, 1_000)));
+    fleet.advance(100);
+    assert!(fleet.starts().is_empty(), "a start beside a suspect");
+    let id = StepId { job: "b".into(), occurrence: 0, step: 0 };
+    let now = Now { mono: fleet.now(), unix: NOW.unix };
+    let wait = fleet.lead.wait_status(&id, now).expect("a waiting task");
+    assert_eq!(wait.reason, WaitReason::Isolation);
+}
