Suspects are placed although a plain task of their size found no place

Each worker is isolated for a suspect; the first plain task finds no place; is_blocked skips each job with a step of that size, with it the suspects for which the workers are isolated.

Cause: a pass over the queue takes free capacity for the same to all steps.

Change: a job with a suspect is always tried.

A copy of a speculative task may start up to a second after the acknowledged completion of the other, as the rule says; the simulation checks that bound.

--- a/crates/lead/src/place.rs
+++ b/crates/lead/src/place.rs
@@ -34,7 +34,7 @@
     }
 
     /// Whether none of a job's waiting tasks can be placed in the rest of this pass. Workers that
-    /// are reserved for one of its steps are open to no other.
+    /// are reserved for one of its steps, or isolated for one of its tasks, are open to no other.
     fn is_blocked(&self, id: &Name, pass: &Pass, now: Now) -> bool {
         if self.holds_reservation(id, now) {
             return false;
@@ -42,6 +42,9 @@
         let (Some(job), Some(tasks)) = (self.jobs.get(id), self.waiting.get(id)) else {
             return false;
         };
+        if tasks.iter().any(|task| self.suspects.contains(task)) {
+            return false;
+        }
         let mut steps: Vec<u32> = tasks.iter().map(|task| task.step).collect();
         steps.dedup();
         !steps.is_empty()
--- a/crates/lead/tests/world/mod.rs
+++ b/crates/lead/tests/world/mod.rs
@@ -32,6 +32,8 @@
 /// Delay of a command or reply.
 const NETWORK_DELAY: Millis = 10;
 
+/// Time after the acknowledged completion of a task within which a copy of it may still start.
+const MAX_COPY_DELAY: Millis = 1_000;
 /// Interval between two audits of the leader's tasks.
 const AUDIT_INTERVAL: Millis = 50;
 /// Longest time for which a task may be in doubt, stopped or queued while nothing is disturbed: that
@@ -666,7 +668,11 @@
         }
         let task = &start.task;
         let speculative = self.step_of(task).speculative;
-        if self.acknowledged.contains_key(task) && !speculative {
+        let after = self.acknowledged.get(task).is_some_and(|at| match speculative {
+            true => self.now > at + MAX_COPY_DELAY,
+            false => true,
+        });
+        if after {
             self.violations.push(format!(
                 "{} started {task} after its acknowledged completion at {}",
                 id, self.now
