--- a/crates/lead/tests/lasting.rs
+++ b/crates/lead/tests/lasting.rs
@@ -105,3 +105,31 @@
         assert_eq!(started, [(sent[0].0.clone(), case.first.into())], "{}", case.name);
     }
 }
+
+/// Guards against sound tasks that never start beside idle workers, since many jobs that no worker
+/// can run come first.
+#[test]
+fn steps_without_a_worker_do_not_hold_up_others() {
+    struct Case {
+        name: &'static str,
+        lost: Step,
+        sound: Step,
+    }
+    let fill = |estimate| Step { best_effort: true, ..step(1, 100, estimate) };
+    let cases = [
+        Case { name: "plain", lost: step(1, 100, EARLY), sound: step(1, 100, LATE) },
+        Case { name: "long-running", lost: service(1, 100), sound: service(1, 100) },
+        Case { name: "best-effort", lost: fill(EARLY), sound: fill(LATE) },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::open(3);
+        for n in 0..200 {
+            let lost = Step { requires: Some("z".into()), ..case.lost.clone() };
+            fleet.accept(&format!("lost-{n:03}"), spec(lost));
+        }
+        fleet.commands();
+        fleet.accept("sound", spec(case.sound));
+        let started = (0..75).any(|_| fleet.starts().iter().any(|(_, s)| &*s.task.job == "sound"));
+        assert!(started, "{}: it waits for 3 s", case.name);
+    }
+}
