--- a/crates/lead/src/place.rs
+++ b/crates/lead/src/place.rs
@@ -22,7 +22,7 @@
             if !settled && self.jobs.get(&id).is_some_and(|job| job.inherited) {
                 continue;
             }
-            if self.is_blocked(&id, &pass) {
+            if self.is_blocked(&id, &pass, now) {
                 continue;
             }
             let tasks = self.waiting.remove(&id).unwrap_or_default();
@@ -33,8 +33,12 @@
         }
     }
 
-    /// Whether none of a job's waiting tasks can be placed in the rest of this pass.
-    fn is_blocked(&self, id: &Name, pass: &Pass) -> bool {
+    /// Whether none of a job's waiting tasks can be placed in the rest of this pass. Workers that
+    /// are reserved for one of its steps are open to no other.
+    fn is_blocked(&self, id: &Name, pass: &Pass, now: Now) -> bool {
+        if self.holds_reservation(id, now) {
+            return false;
+        }
         let (Some(job), Some(tasks)) = (self.jobs.get(id), self.waiting.get(id)) else {
             return false;
         };
@@ -137,6 +141,8 @@
         let (epoch, lease) = (self.epoch, self.bounds.lease);
         let ticket = self.ticket(id, name, now).unwrap_or_default();
         let waited = self.waited(&id.step_id(), now);
+        let suspect = self.suspects.contains(id);
+        let alone = suspect && self.starts_alone(id, now);
         let Some(job) = self.jobs.get_mut(&id.job) else { return };
         let Some(step) = job.step(id).cloned() else { return };
         let text = job.spec.text.clone();
@@ -150,8 +156,7 @@
         let clock = worker.clock_now(now.mono).unwrap_or(0);
         let deadline = clock + lease;
         worker.lease_expiry = worker.lease_expiry.max(deadline);
-        let suspect = self.suspects.contains(id);
-        worker.add(id.clone(), Run { suspect, ..Run::starting(run_id, &step, now.mono) });
+        worker.add(id.clone(), Run { suspect, alone, ..Run::starting(run_id, &step, now.mono) });
         let start =
             Start { task: id.clone(), run: run_id, text, deadline, token, checkpoint, ticket };
         self.commands.push(Command::Start(worker.addr(), start));
