--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -128,8 +128,6 @@
     pub(crate) searched: BTreeMap<StepId, (u64, Millis)>,
     /// Since when the tasks of each step have waited for a worker.
     pub(crate) waiting_since: BTreeMap<StepId, Millis>,
-    /// When each waiting step last found no place.
-    pub(crate) tried: BTreeMap<StepId, Millis>,
     /// When `waiting_since` was last updated.
     pub(crate) waits_updated: Millis,
     /// Workers whose free capacity is reserved for one step.
@@ -195,7 +193,6 @@
             pass: 0,
             searched: BTreeMap::new(),
             waiting_since: BTreeMap::new(),
-            tried: BTreeMap::new(),
             waits_updated: 0,
             reservations: BTreeMap::new(),
             preemption_checked: 0,
--- a/crates/lead/src/pass.rs
+++ b/crates/lead/src/pass.rs
@@ -3,11 +3,8 @@
 
 use crate::load::TaskKind;
 
-/// Number of unplaced steps of one kind after which no more of that kind are tried but those whose
-/// turn has come.
+/// Number of unplaced steps of one kind after which no more of that kind are tried.
 const MAX_UNPLACED_STEPS: usize = 60;
-/// Number of steps of one kind that are tried beyond those because their turn has come.
-const MAX_RETRIED_STEPS: usize = 10;
 
 /// Outcome so far of one placement pass over the queue. Free capacity only decreases during a
 /// pass, so that a step that could not be placed cannot be placed later in it either.
@@ -43,13 +40,11 @@
         }
     }
 
-    /// Whether trying to place a task of a step can be skipped; `due` tells that its turn has come,
-    /// whatever comes first in the scheduling order.
-    pub(crate) fn can_skip(&self, service: &Name, step: &Step, due: bool) -> bool {
+    /// Whether trying to place a task of a step can be skipped.
+    pub(crate) fn can_skip(&self, service: &Name, step: &Step) -> bool {
         let kind = TaskKind::of(step);
         let tried = self.unplaced.iter().filter(|unplaced| **unplaced == kind).count();
-        let retried = if due { MAX_RETRIED_STEPS } else { 0 };
-        tried >= MAX_UNPLACED_STEPS + retried
+        tried >= MAX_UNPLACED_STEPS
             || self.capacity_limited.iter().any(|limited| limited.covers(kind, service, step))
     }
 }
--- a/crates/lead/src/place.rs
+++ b/crates/lead/src/place.rs
@@ -1,13 +1,11 @@
 use std::collections::BTreeMap;
 
-use base::{Millis, Name, Now, event};
-use job::{StepId, TaskId};
+use base::{Name, Now, event};
+use job::TaskId;
 use port::Start;
 
 use crate::{Command, Lead, Run, load::TaskKind, pass::Pass, search::SearchCache};
 
-/// Time in milliseconds after which a step without a place is tried again, however many come first.
-const RETRY_INTERVAL: Millis = 2_000;
 /// Limit of starts in one placement pass.
 const MAX_STARTS: usize = 200;
 
@@ -44,18 +42,12 @@
         let (Some(job), Some(tasks)) = (self.jobs.get(id), self.waiting.get(id)) else {
             return false;
         };
-        let mut steps: Vec<StepId> = tasks.iter().map(TaskId::step_id).collect();
+        let mut steps: Vec<u32> = tasks.iter().map(|task| task.step).collect();
         steps.dedup();
-        let can_skip = |id: &StepId| {
-            let step = &job.spec.steps[id.step as usize];
-            pass.can_skip(&job.queue.service, step, self.is_due(id, now))
-        };
-        !steps.is_empty() && steps.iter().all(can_skip)
-    }
-
-    /// Whether a step has not been tried for so long that its turn has come.
-    fn is_due(&self, id: &StepId, now: Now) -> bool {
-        self.tried.get(id).is_none_or(|at| now.mono >= at + RETRY_INTERVAL)
+        !steps.is_empty()
+            && steps
+                .iter()
+                .all(|step| pass.can_skip(&job.queue.service, &job.spec.steps[*step as usize]))
     }
 
     /// Starts tasks of one job and returns those that were not placed.
@@ -118,7 +110,6 @@
     /// Records that a task could not be placed and requests a ticket if its queue needs one.
     fn handle_unplaced(&mut self, id: &TaskId, pass: &mut Pass, now: Now) {
         let Some(job) = self.jobs.get(&id.job) else { return };
-        self.tried.insert(id.step_id(), now.mono);
         if let Some(step) = job.step(id) {
             pass.note_unplaced(&job.queue.service, step, job.queue.needs_ticket);
             if !step.gang && !job.queue.needs_ticket {
--- a/crates/lead/src/waits.rs
+++ b/crates/lead/src/waits.rs
@@ -160,7 +160,6 @@
         }
         self.waiting_since = waits;
         self.searched.retain(|id, _| self.waiting_since.contains_key(id));
-        self.tried.retain(|id, _| self.waiting_since.contains_key(id));
     }
 
     /// Returns how long tasks of a step have waited, in milliseconds.
