Drain: a request is in flight until its response is written

What callers saw: around a SIGTERM, a request whose process had read it could end without a response. It counted as in flight only until the decision about it; it was accepted until the process ended, also where it could wait for longer than the time left (a submission waits 1 s for the store, others retry for 1.8 s); and responses kept their connections open, so that callers stayed on them until the process was gone and there might be no moment with none in flight.

Change: the HTTP server counts a request from when it has been received whole until the last byte of its response is written or its connection has failed. While it drains, each response says `connection: close` and closes its connection. Requests that arrive after the accepting part of the grace period are refused with 503 and Retry-After before anything is done about them; accepted ones are decided by 0.85 of it, as in doubt where the outcome is not known. Calls forwarded by other VMs hold the end as well.

Tests, which failed with the old logic put back: http/tests/drain.rs (0 in flight where two callers had read the head only; connection not closed after 5 s) and node/tests/alone/drain.rs (a response without `connection: close`; with the old deadlines one request in flight at the end, or no refusal). They pass with the change.

Not covered: a caller that pipelines requests on one connection, which this server does not support; a request sent in the same instant in which the process ends.

--- a/crates/cli/src/cmd/serve.rs
+++ b/crates/cli/src/cmd/serve.rs
@@ -26,18 +26,18 @@
         let settings = PlatformSettings::open(&self.settings)?;
         let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).context(SignalsSnafu)?;
         let platform = platform::open(settings.store, settings.advice);
-        let (callers, health) = (settings.callers, settings.health);
+        let (caller_addr, health_addr) = (settings.callers, settings.health);
         let running = node::spawn(settings.clone(), platform).await.context(NodeSnafu)?;
         let shared = running.node();
         let (ready_node, metrics_node) = (Rc::clone(&shared), Rc::clone(&shared));
         let _health = platform::bind_health(
-            health,
+            health_addr,
             move || ready_node.ready(),
             move || metrics_node.metrics(),
         )
         .await
         .context(ListenSnafu)?;
-        let _callers = platform::bind_callers(callers, move |request| {
+        let callers = platform::bind_callers(caller_addr, move |request| {
             node::answer(Rc::clone(&shared), request)
         })
         .await
@@ -48,7 +48,7 @@
             }
             self.reload(&settings);
         }
-        running.close().await;
+        running.close(&callers).await;
         Ok(())
     }
 
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,5 +1,12 @@
-use std::{future::Future, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    future::Future,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
+use async_h1::server::ConnectionStatus;
 use async_std::{
     future::timeout,
     io::ReadExt,
@@ -102,10 +109,49 @@
     /// Address that it listens on. The port is the actual one, also when port 0 was
     /// asked for.
     pub addr: SocketAddr,
+    shared: Rc<Shared>,
     accept_task: Option<JoinHandle<()>>,
 }
 
+/// State shared by a server and its connections.
+#[derive(Debug, Default)]
+struct Shared {
+    /// Whether each response is the last one of its connection.
+    draining: Cell<bool>,
+    /// Number of requests in flight, see [`Server::inflight`].
+    inflight: Cell<usize>,
+}
+
+/// A request in flight, counted until it is dropped.
+#[derive(Debug)]
+struct InFlight(Rc<Shared>);
+
+impl InFlight {
+    fn new(shared: &Rc<Shared>) -> InFlight {
+        shared.inflight.set(shared.inflight.get() + 1);
+        InFlight(Rc::clone(shared))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.inflight.set(self.0.inflight.get() - 1);
+    }
+}
+
 impl Server {
+    /// Closes each connection after its next response, which says so. Connections are still
+    /// accepted.
+    pub fn drain(&self) {
+        self.shared.draining.set(true);
+    }
+
+    /// Returns the number of requests that were received to the end, and whose responses are not
+    /// written to the end.
+    pub fn inflight(&self) -> usize {
+        self.shared.inflight.get()
+    }
+
     /// Stops accepting connections. Open connections are kept and served.
     pub async fn close(&mut self) {
         if let Some(task) = self.accept_task.take() {
@@ -127,38 +173,54 @@
     let listener = TcpListener::bind(addr).await.context(ListenSnafu { peer: addr })?;
     let addr = listener.local_addr().context(ListenSnafu { peer: addr })?;
     let handler = Rc::new(handler);
+    let shared = Rc::new(Shared::default());
+    let server_state = Rc::clone(&shared);
     let accept_task = spawn_local(async move {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    spawn_local(serve_connection(stream, Rc::clone(&handler)));
+                    let shared = Rc::clone(&server_state);
+                    spawn_local(serve_connection(stream, shared, Rc::clone(&handler)));
                 }
                 Err(_) => sleep(ACCEPT_PAUSE).await,
             }
         }
     });
-    Ok(Server { addr, accept_task: Some(accept_task) })
+    Ok(Server { addr, shared, accept_task: Some(accept_task) })
 }
 
-async fn serve_connection<F, R>(stream: TcpStream, handler: Rc<F>)
+async fn serve_connection<F, R>(stream: TcpStream, shared: Rc<Shared>, handler: Rc<F>)
 where
     F: Fn(Request) -> R + 'static,
     R: Future<Output = Option<Response>> + 'static,
 {
     let _ = stream.set_nodelay(true);
-    let result = async_h1::accept(stream.clone(), |request| {
-        let handler = Rc::clone(&handler);
-        async move { handle_request(request, &*handler).await }
-    })
-    .await;
-    if let Err(e) = result {
-        log::debug!("event=connection_closed reason={:?}", e.to_string());
+    let inflight = Rc::new(RefCell::new(None));
+    let mut server = async_h1::server::Server::new(stream.clone(), |request| {
+        let (shared, handler) = (Rc::clone(&shared), Rc::clone(&handler));
+        let inflight = Rc::clone(&inflight);
+        async move { handle_request(request, &shared, &inflight, &*handler).await }
+    });
+    loop {
+        let result = server.accept_one().await;
+        // The response has been written, or the connection has failed.
+        inflight.take();
+        match result {
+            Ok(ConnectionStatus::KeepAlive) => {}
+            Ok(ConnectionStatus::Close) => break,
+            Err(e) => {
+                log::debug!("event=connection_closed reason={:?}", e.to_string());
+                break;
+            }
+        }
     }
     let _ = stream.shutdown(std::net::Shutdown::Both);
 }
 
 async fn handle_request<F, R>(
     mut request: http_types::Request,
+    shared: &Rc<Shared>,
+    inflight: &RefCell<Option<InFlight>>,
     handler: &F,
 ) -> http_types::Result<http_types::Response>
 where
@@ -170,6 +232,7 @@
         Ok(Err(refusal)) => return Ok(build_response(refusal, true)),
         Ok(Ok(body)) => body,
     };
+    inflight.replace(Some(InFlight::new(shared)));
     let query = request.url().query_pairs().into_owned().collect();
     let req = Request {
         method: request.method(),
@@ -179,8 +242,8 @@
         request,
     };
     match handler(req).await {
-        Some(response) => Ok(build_response(response, false)),
-        // An error makes `async_h1::accept` end without sending a response.
+        Some(response) => Ok(build_response(response, shared.draining.get())),
+        // An error makes `accept_one` end without sending a response.
         None => Err(http_types::Error::from_str(StatusCode::InternalServerError, "no answer")),
     }
 }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -36,10 +36,11 @@
 
 /// Answers a caller's request and records how long it took.
 pub(crate) async fn answer(node: &Rc<Node>, incoming: Incoming) -> Reply {
-    node.inflight.set(node.inflight.get() + 1);
     let started = now().mono;
+    if node.drain.get().is_some_and(|drain| drain.refuses(started)) {
+        return Reply::NotDone(RETRY_AFTER);
+    }
     let reply = route(node, &incoming).await;
-    node.inflight.set(node.inflight.get() - 1);
     metrics::histogram!("request_ms").record((now().mono - started) as f64);
     reply
 }
@@ -101,7 +102,7 @@
             Attempt::Replied(reply) => return reply,
             Attempt::Unsent => {}
         }
-        if now().mono >= deadline {
+        if now().mono >= node.cap_deadline(deadline) {
             let is_change = matches!(work, Work::Submit(..) | Work::Cancel(_));
             let in_doubt = in_doubt || !is_change;
             return if in_doubt { Reply::InDoubt } else { Reply::NotDone(RETRY_AFTER) };
@@ -134,7 +135,7 @@
     let Some(vm) = next_hop.filter(|vm| vm.name != node.me.name) else { return Attempt::Unsent };
     let link = node.link(&vm);
     let request = PeerRequest::Work(WorkRequest { work: work.clone(), relay });
-    let left = deadline.saturating_sub(time).clamp(100, FORWARD_TIMEOUT);
+    let left = node.cap_deadline(deadline).saturating_sub(time).clamp(100, FORWARD_TIMEOUT);
     match link.call::<_, WorkReply>(Method::Work, &request, Duration::from_millis(left)).await {
         Ok(Some(reply)) => Attempt::Replied(reply),
         Ok(None) => Attempt::Unsent,
@@ -148,6 +149,13 @@
 
 /// Answers work that another VM has forwarded; `None` if it did not reach the leader.
 pub(crate) async fn answer_forwarded(node: &Rc<Node>, request: WorkRequest) -> WorkReply {
+    node.forwarded.set(node.forwarded.get() + 1);
+    let reply = route_forwarded(node, request).await;
+    node.forwarded.set(node.forwarded.get() - 1);
+    reply
+}
+
+async fn route_forwarded(node: &Rc<Node>, request: WorkRequest) -> WorkReply {
     let time = now().mono;
     if node.shared.borrow().may_decide(time) {
         return decide(node, &request.work).await;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 
 use async_std::task::JoinHandle;
 use conf::PlatformSettings;
+use http::Server;
 use port::{Incoming, Platform, Reply};
 
 pub use crate::{error::Error, state::Node};
@@ -71,8 +72,9 @@
         Rc::clone(&self.node)
     }
 
-    /// Shuts down gracefully: hands leadership over and waits for requests in flight.
-    pub async fn close(&self) {
-        shutdown::run(&self.node).await;
+    /// Shuts down gracefully: hands leadership over, closes the connections of `callers` after
+    /// their next response, and waits for requests in flight.
+    pub async fn close(&self, callers: &Server) {
+        shutdown::run(&self.node, callers).await;
     }
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -20,13 +20,13 @@
 use snafu::ResultExt;
 use wire::Link;
 
-use crate::{Error, error::DatagramsSnafu};
+use crate::{Error, error::DatagramsSnafu, shutdown::Drain};
 
 /// Leader silence from which this VM reports that it is not ready for callers.
 const MAX_SILENCE: Millis = 3_000;
 
 /// Outcome for a request that waits for a change: true once the change is durable, false
-/// if leadership was lost before.
+/// if leadership or the time to answer was lost before.
 pub(crate) type Stored = bool;
 
 /// Wake-up signal for one loop. Signals sent before the loop wakes are merged.
@@ -60,8 +60,10 @@
     pub(crate) append_wakeup: Notify,
     pub(crate) report_wakeup: Notify,
     pub(crate) shared: RefCell<Shared>,
-    /// Number of callers' requests in flight.
-    pub(crate) inflight: Cell<usize>,
+    /// Number of forwarded requests of other VMs in flight.
+    pub(crate) forwarded: Cell<usize>,
+    /// The shutdown in progress, if any.
+    pub(crate) drain: Cell<Option<Drain>>,
     metrics: PrometheusHandle,
 }
 
@@ -150,7 +152,8 @@
             append_wakeup: Notify::new(),
             report_wakeup: Notify::new(),
             shared: RefCell::new(shared),
-            inflight: Cell::new(0),
+            forwarded: Cell::new(0),
+            drain: Cell::new(None),
             metrics,
         }))
     }
@@ -202,9 +205,7 @@
         shared.election.step_down(now().mono);
         shared.append_started = 0;
         shared.unavailable_since = 0;
-        for (_, waiter) in shared.waiters.drain(..) {
-            let _ = waiter.send(false);
-        }
+        shared.fail_waiters();
     }
 }
 
@@ -214,6 +215,13 @@
         self.lead.is_some() && self.election.may_decide(now)
     }
 
+    /// Fails the requests that wait for a change to become durable: it may or may not.
+    pub(crate) fn fail_waiters(&mut self) {
+        for (_, waiter) in self.waiters.drain(..) {
+            let _ = waiter.send(false);
+        }
+    }
+
     /// Returns the leader state if this VM is still the leader in `epoch`.
     pub(crate) fn lead_in(&mut self, epoch: u64) -> Option<&mut Lead> {
         self.lead.as_mut().filter(|lead| lead.epoch == epoch)
