Acks: a durable job is acknowledged though leadership is lost at that moment

What callers saw: 503, "not accepted, it does not run", for a job that was durable and ran, where the leader lost its place between the store's answer to the append and the reply. The request looked the job up in the leader state of then; without one it counted as not having reached the leader, and was retried until its deadline.

Change: the loop that applies the durable batch judges, in the epoch that appended it, whether the job was kept or withdrawn, and tells the request. A request that times out while there is no leader state is in doubt and no longer "did not reach the leader" (by reading only: the loss of leadership resolves all waits before).

Test: node/tests/alone/acks.rs lets the store answer the append and a successor's claim before the request goes on; on the code before the reply was NotDone, now Accepted.

--- a/crates/node/src/append.rs
+++ b/crates/node/src/append.rs
@@ -8,7 +8,7 @@
 use lead::Batch;
 use port::{Append, AppendError, Topic};
 
-use crate::state::Node;
+use crate::state::{Node, Outcome, Waiter};
 
 /// Longest interval between two checks for a batch to append.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
@@ -108,14 +108,16 @@
     let Some(lead) = shared.lead_in(epoch) else { return };
     lead.on_stored(batch, time);
     let stored = lead.durable_batch();
-    let (done, left) = std::mem::take(&mut shared.waiters)
+    let (done, left): (Vec<Waiter>, _) = std::mem::take(&mut shared.waiters)
         .into_iter()
-        .partition(|(batch_no, _): &(u64, _)| *batch_no <= stored);
+        .partition(|waiter| waiter.batch_no <= stored);
     shared.waiters = left;
-    drop(shared);
-    let done: Vec<_> = done;
-    for (_, waiter) in done {
-        let _ = waiter.send(true);
+    let Some(lead) = shared.lead_in(epoch) else { return };
+    for waiter in done {
+        // Another submission of the same job may have timed out and withdrawn it.
+        let kept = lead.state(&waiter.job).is_some();
+        let outcome = if kept { Outcome::Durable } else { Outcome::Withdrawn };
+        let _ = waiter.sender.send(outcome);
     }
     node.decide_wakeup.notify();
 }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     msg::{PeerRequest, Work, WorkReply, WorkRequest},
-    state::Node,
+    state::{Node, Outcome, Waiter},
 };
 
 /// Time that a caller waits if its request does not say.
@@ -216,18 +216,17 @@
         Submitted::Pending(batch_no) => batch_no,
     };
     let (sender, receiver) = oneshot::channel();
-    node.shared.borrow_mut().waiters.push((batch_no, sender));
+    let waiter = Waiter { batch_no, job: id.clone(), sender };
+    node.shared.borrow_mut().waiters.push(waiter);
     node.append_wakeup.notify();
     match timeout(STORE_TIMEOUT, receiver).await {
-        Ok(Ok(true)) => {
-            // Another submission of the same job may have timed out and withdrawn it.
-            let kept = node.shared.borrow().lead.as_ref()?.state(id).is_some();
-            Some(if kept { done } else { Reply::NotDone(RETRY_AFTER) })
-        }
+        Ok(Ok(Outcome::Durable)) => Some(done),
+        Ok(Ok(Outcome::Withdrawn)) => Some(Reply::NotDone(RETRY_AFTER)),
         Ok(_) => Some(Reply::InDoubt),
         Err(_) => {
             let mut shared = node.shared.borrow_mut();
-            let withdrawn = done == Reply::Accepted && shared.lead.as_mut()?.withdraw(id);
+            let withdrawn = done == Reply::Accepted
+                && shared.lead.as_mut().is_some_and(|lead| lead.withdraw(id));
             Some(if withdrawn { Reply::NotDone(RETRY_AFTER) } else { Reply::InDoubt })
         }
     }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -25,9 +25,26 @@
 /// Leader silence from which this VM reports that it is not ready for callers.
 const MAX_SILENCE: Millis = 3_000;
 
-/// Outcome for a request that waits for a change: true once the change is durable, false
-/// if leadership or the time to answer was lost before.
-pub(crate) type Stored = bool;
+/// Outcome for a request that waits for a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// The change is durable.
+    Durable,
+    /// The change did not happen: another submission of the job has withdrawn it.
+    Withdrawn,
+    /// Leadership or the time to answer was lost before.
+    Unknown,
+}
+
+/// A request that waits for a change to become durable.
+#[derive(Debug)]
+pub(crate) struct Waiter {
+    /// Number of the batch with the change.
+    pub(crate) batch_no: u64,
+    /// Job that is changed.
+    pub(crate) job: Name,
+    pub(crate) sender: oneshot::Sender<Outcome>,
+}
 
 /// Wake-up signal for one loop. Signals sent before the loop wakes are merged.
 #[derive(Debug)]
@@ -86,8 +103,8 @@
     /// Offset at which the leader's log ended after its last append.
     pub(crate) log_end: u64,
     pub(crate) manifest: Option<Rc<Manifest>>,
-    /// Requests that wait for a batch to become durable, with the number of the batch.
-    pub(crate) waiters: Vec<(u64, oneshot::Sender<Stored>)>,
+    /// Requests that wait for a change to become durable.
+    pub(crate) waiters: Vec<Waiter>,
     /// First attempt of the append in flight; 0 if there is none.
     pub(crate) append_started: Millis,
     /// Start of the current outage of appends; 0 while they succeed.
@@ -217,8 +234,8 @@
 
     /// Fails the requests that wait for a change to become durable: it may or may not.
     pub(crate) fn fail_waiters(&mut self) {
-        for (_, waiter) in self.waiters.drain(..) {
-            let _ = waiter.send(false);
+        for waiter in self.waiters.drain(..) {
+            let _ = waiter.sender.send(Outcome::Unknown);
         }
     }
 
--- /dev/null
+++ b/crates/node/tests/alone/acks.rs
@@ -0,0 +1,44 @@
+//! Replies to submissions around changes of leadership.
+
+use std::rc::Rc;
+
+use async_std::task::{self, spawn_local};
+use elect::Vm as EntryVm;
+use port::{Batch, Item, Reply};
+
+use crate::vm::{Vm, submission};
+
+const JOB: &str = "5c0e7a21d94b36f8";
+
+/// Returns the record of a successor's claim.
+fn claim(epoch: u64) -> Item {
+    let addr = ([127, 0, 0, 1], 9).into();
+    let vm =
+        EntryVm { name: "f".into(), domain: "d".into(), addr, incarnation: 1, cpu_capacity: 1 };
+    Item { key: lead::OWNER.into(), value: postcard::to_stdvec(&(epoch, vm)).unwrap() }
+}
+
+/// Guards against a caller being told that a durable job never runs, where leadership is lost
+/// between the answer of the store and the reply.
+#[test]
+fn a_durable_job_is_acknowledged_though_leadership_is_lost() {
+    task::block_on(async {
+        let vm = Rc::new(Vm::spawn("").await);
+        vm.logs.held.set(true);
+        let caller = Rc::clone(&vm);
+        let reply = spawn_local(async move { caller.answer(submission(), JOB).await });
+        let (_, query) = vm.reads.recv().await.unwrap();
+        loop {
+            let (request, answer) = vm.appends.recv().await.unwrap();
+            let end = vm.logs.append(&request);
+            answer.send(Ok(end)).unwrap();
+            if request.records.iter().any(|record| record.key.ends_with(JOB)) {
+                break;
+            }
+        }
+        // Both answers are handled before the caller's request goes on.
+        let items = vec![claim(u64::MAX / 2)];
+        query.send(Ok(Batch { items, next: 9, end: 9 })).unwrap();
+        assert_eq!(reply.await, Reply::Accepted);
+    });
+}
--- a/crates/node/tests/alone/vm.rs
+++ b/crates/node/tests/alone/vm.rs
@@ -1,4 +1,4 @@
-//! One VM that leads alone, with a store in memory whose appends can be held back.
+//! One VM that leads alone, with a store in memory whose calls can be held back.
 
 use std::{
     cell::{Cell, RefCell},
@@ -13,23 +13,26 @@
 use base::Name;
 use conf::PlatformSettings;
 use futures::{channel::oneshot, future::pending};
-use job::{Manifest, Queue};
+use job::{Manifest, Queue, Spec, Step};
 use node::Running;
 use port::{
-    Append, AppendError, Batch, Incoming, Item, Platform, PolicyService, Reply, Store, Table,
-    Topic, Verb, Workers, call,
+    Append, AppendError, Batch, Incoming, Item, Platform, PolicyService, Reply, Store, StoreError,
+    Table, Topic, Verb, Workers, call,
 };
 
 /// An append that is held back, until its reply is sent.
 pub(crate) type HeldAppend = (Append, oneshot::Sender<Result<u64, AppendError>>);
+/// A read of the cell's log that is held back, until its reply is sent.
+pub(crate) type HeldRead = (u64, oneshot::Sender<Result<Batch, StoreError>>);
 
 /// The store in memory.
 #[derive(Debug)]
 pub(crate) struct Logs {
     logs: RefCell<HashMap<Topic, Vec<Item>>>,
-    /// Whether appends to the cell's log are held back.
+    /// Whether calls about the cell's log are held back.
     pub(crate) held: Cell<bool>,
     held_append: Sender<HeldAppend>,
+    held_read: Sender<HeldRead>,
 }
 
 impl Logs {
@@ -67,6 +70,7 @@
     pub(crate) running: Rc<Running>,
     pub(crate) logs: Rc<Logs>,
     pub(crate) appends: Receiver<HeldAppend>,
+    pub(crate) reads: Receiver<HeldRead>,
 }
 
 impl Vm {
@@ -79,12 +83,13 @@
         );
         let settings = PlatformSettings::parse("settings", &settings).unwrap();
         let (held_append, appends) = unbounded();
+        let (held_read, reads) = unbounded();
         let (logs, held) = (RefCell::default(), Cell::new(false));
-        let logs = Rc::new(Logs { logs, held, held_append });
+        let logs = Rc::new(Logs { logs, held, held_append, held_read });
         let config = Item { key: "config".into(), value: b"config".to_vec() };
         logs.logs.borrow_mut().insert(Topic::Operator, vec![config]);
         let running = Rc::new(node::spawn(settings, platform(&logs)).await.unwrap());
-        let vm = Vm { running, logs, appends };
+        let vm = Vm { running, logs, appends, reads };
         while vm.answer(Verb::Show, "").await != Reply::Pending(0) {
             yield_now().await;
         }
@@ -102,6 +107,12 @@
     Incoming { verb, host: "h".into(), path: format!("/q/{id}").into(), wait: None }
 }
 
+/// Returns the submission of a job with one task.
+pub(crate) fn submission() -> Verb {
+    let step = Step { count: 1, ..Step::default() };
+    Verb::Submit(Ok(Spec { text: "t".into(), steps: vec![step], repeat: None }))
+}
+
 fn platform(logs: &Rc<Logs>) -> Platform {
     let [newest, reads, appends] = [0; 3].map(|_| Rc::clone(logs));
     let store = Store {
@@ -112,6 +123,12 @@
         read: call(move |(topic, from, wait)| {
             let logs = Rc::clone(&reads);
             async move {
+                if logs.held.get() && topic == Topic::Cell {
+                    let (reply, receiver) = oneshot::channel();
+                    let _ = logs.held_read.send((from, reply)).await;
+                    let lost = StoreError::Unavailable { reason: String::new() };
+                    return receiver.await.unwrap_or(Err(lost));
+                }
                 let batch = logs.read(topic, from);
                 // Nothing is added to the other logs.
                 if batch.items.is_empty() && wait > 0 { pending().await } else { Ok(batch) }
