Acks: a cancellation waits for the submission of its job

What callers saw: DELETE of a job whose submission was on its way to the store got 410 at once ("no such job"), and then the job became durable, was acknowledged and ran.

Change: the leader first waits until the submission is durable, then cancels; the reply is "in doubt" where the wait times out or leadership is lost.

Test: node/tests/alone/acks.rs; before the change the cancellation was answered NoJob, now Cancelled, and the job shows as cancelled.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -188,13 +188,18 @@
             await_durable(node, submitted, id, Reply::Accepted).await
         }
         Work::Cancel(id) => {
-            let submitted = {
-                let mut shared = node.shared.borrow_mut();
-                if let Some(after) = shared.retry_after() {
-                    return Some(Reply::NotDone(after));
+            if let Some(after) = node.shared.borrow().retry_after() {
+                return Some(Reply::NotDone(after));
+            }
+            // A job can be cancelled once its submission is durable.
+            let known = node.shared.borrow().lead.as_ref()?.submitted(id);
+            if let Some(pending @ Submitted::Pending(_)) = known {
+                let reply = await_durable(node, pending, id, Reply::Cancelled).await;
+                if reply == Some(Reply::InDoubt) {
+                    return reply;
                 }
-                shared.lead.as_mut()?.cancel(id, now())
-            };
+            }
+            let submitted = node.shared.borrow_mut().lead.as_mut()?.cancel(id, now());
             await_durable(node, submitted, id, Reply::Cancelled).await
         }
         Work::Show(id) => {
--- a/crates/node/tests/alone/acks.rs
+++ b/crates/node/tests/alone/acks.rs
@@ -4,7 +4,8 @@
 
 use async_std::task::{self, spawn_local};
 use elect::Vm as EntryVm;
-use port::{Batch, Item, Reply};
+use job::State;
+use port::{Batch, Item, Reply, Verb};
 
 use crate::vm::{Vm, submission};
 
@@ -42,3 +43,27 @@
         assert_eq!(reply.await, Reply::Accepted);
     });
 }
+
+/// Guards against a cancellation that is answered with "no such job" while the submission is on its
+/// way to the store, after which the job runs.
+#[test]
+fn a_cancellation_waits_for_the_submission_of_its_job() {
+    task::block_on(async {
+        let vm = Rc::new(Vm::spawn("").await);
+        vm.logs.held.set(true);
+        let (submitter, canceller) = (Rc::clone(&vm), Rc::clone(&vm));
+        let accepted = spawn_local(async move { submitter.answer(submission(), JOB).await });
+        let (mut request, mut answer) = vm.appends.recv().await.unwrap();
+        while !request.records.iter().any(|record| record.key.ends_with(JOB)) {
+            answer.send(Ok(vm.logs.append(&request))).unwrap();
+            (request, answer) = vm.appends.recv().await.unwrap();
+        }
+        let cancelled = spawn_local(async move { canceller.answer(Verb::Cancel, JOB).await });
+        task::yield_now().await;
+        vm.logs.held.set(false);
+        answer.send(Ok(vm.logs.append(&request))).unwrap();
+        assert_eq!(accepted.await, Reply::Accepted);
+        assert_eq!(cancelled.await, Reply::Cancelled);
+        assert_eq!(vm.answer(Verb::Show, JOB).await, Reply::State(State::Cancelled));
+    });
+}
