--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     msg::{PeerRequest, Work, WorkReply, WorkRequest},
-    state::Node,
+    state::{Node, Outcome, Waiter},
 };
 
 /// Time that a caller waits if its request does not say.
@@ -36,10 +36,11 @@
 
 /// Answers a caller's request and records how long it took.
 pub(crate) async fn answer(node: &Rc<Node>, incoming: Incoming) -> Reply {
-    node.inflight.set(node.inflight.get() + 1);
     let started = now().mono;
+    if node.drain.get().is_some_and(|drain| drain.refuses(started)) {
+        return Reply::NotDone(RETRY_AFTER);
+    }
     let reply = route(node, &incoming).await;
-    node.inflight.set(node.inflight.get() - 1);
     metrics::histogram!("request_ms").record((now().mono - started) as f64);
     reply
 }
@@ -101,7 +102,7 @@
             Attempt::Replied(reply) => return reply,
             Attempt::Unsent => {}
         }
-        if now().mono >= deadline {
+        if now().mono >= node.cap_deadline(deadline) {
             let is_change = matches!(work, Work::Submit(..) | Work::Cancel(_));
             let in_doubt = in_doubt || !is_change;
             return if in_doubt { Reply::InDoubt } else { Reply::NotDone(RETRY_AFTER) };
@@ -134,7 +135,7 @@
     let Some(vm) = next_hop.filter(|vm| vm.name != node.me.name) else { return Attempt::Unsent };
     let link = node.link(&vm);
     let request = PeerRequest::Work(WorkRequest { work: work.clone(), relay });
-    let left = deadline.saturating_sub(time).clamp(100, FORWARD_TIMEOUT);
+    let left = node.cap_deadline(deadline).saturating_sub(time).clamp(100, FORWARD_TIMEOUT);
     match link.call::<_, WorkReply>(Method::Work, &request, Duration::from_millis(left)).await {
         Ok(Some(reply)) => Attempt::Replied(reply),
         Ok(None) => Attempt::Unsent,
@@ -148,6 +149,13 @@
 
 /// Answers work that another VM has forwarded; `None` if it did not reach the leader.
 pub(crate) async fn answer_forwarded(node: &Rc<Node>, request: WorkRequest) -> WorkReply {
+    node.forwarded.set(node.forwarded.get() + 1);
+    let reply = route_forwarded(node, request).await;
+    node.forwarded.set(node.forwarded.get() - 1);
+    reply
+}
+
+async fn route_forwarded(node: &Rc<Node>, request: WorkRequest) -> WorkReply {
     let time = now().mono;
     if node.shared.borrow().may_decide(time) {
         return decide(node, &request.work).await;
@@ -180,13 +188,18 @@
             await_durable(node, submitted, id, Reply::Accepted).await
         }
         Work::Cancel(id) => {
-            let submitted = {
-                let mut shared = node.shared.borrow_mut();
-                if let Some(after) = shared.retry_after() {
-                    return Some(Reply::NotDone(after));
+            if let Some(after) = node.shared.borrow().retry_after() {
+                return Some(Reply::NotDone(after));
+            }
+            // A job can be cancelled once its submission is durable.
+            let known = node.shared.borrow().lead.as_ref()?.submitted(id);
+            if let Some(pending @ Submitted::Pending(_)) = known {
+                let reply = await_durable(node, pending, id, Reply::Cancelled).await;
+                if reply == Some(Reply::InDoubt) {
+                    return reply;
                 }
-                shared.lead.as_mut()?.cancel(id, now())
-            };
+            }
+            let submitted = node.shared.borrow_mut().lead.as_mut()?.cancel(id, now());
             await_durable(node, submitted, id, Reply::Cancelled).await
         }
         Work::Show(id) => {
@@ -208,18 +221,17 @@
         Submitted::Pending(batch_no) => batch_no,
     };
     let (sender, receiver) = oneshot::channel();
-    node.shared.borrow_mut().waiters.push((batch_no, sender));
+    let waiter = Waiter { batch_no, job: id.clone(), sender };
+    node.shared.borrow_mut().waiters.push(waiter);
     node.append_wakeup.notify();
     match timeout(STORE_TIMEOUT, receiver).await {
-        Ok(Ok(true)) => {
-            // Another submission of the same job may have timed out and withdrawn it.
-            let kept = node.shared.borrow().lead.as_ref()?.state(id).is_some();
-            Some(if kept { done } else { Reply::NotDone(RETRY_AFTER) })
-        }
+        Ok(Ok(Outcome::Durable)) => Some(done),
+        Ok(Ok(Outcome::Withdrawn)) => Some(Reply::NotDone(RETRY_AFTER)),
         Ok(_) => Some(Reply::InDoubt),
         Err(_) => {
             let mut shared = node.shared.borrow_mut();
-            let withdrawn = done == Reply::Accepted && shared.lead.as_mut()?.withdraw(id);
+            let withdrawn = done == Reply::Accepted
+                && shared.lead.as_mut().is_some_and(|lead| lead.withdraw(id));
             Some(if withdrawn { Reply::NotDone(RETRY_AFTER) } else { Reply::InDoubt })
         }
     }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -20,14 +20,31 @@
 use snafu::ResultExt;
 use wire::Link;
 
-use crate::{Error, error::DatagramsSnafu};
+use crate::{Error, error::DatagramsSnafu, shutdown::Drain};
 
 /// Leader silence from which this VM reports that it is not ready for callers.
 const MAX_SILENCE: Millis = 3_000;
 
-/// Outcome for a request that waits for a change: true once the change is durable, false
-/// if leadership was lost before.
-pub(crate) type Stored = bool;
+/// Outcome for a request that waits for a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// The change is durable.
+    Durable,
+    /// The change did not happen: another submission of the job has withdrawn it.
+    Withdrawn,
+    /// Leadership or the time to answer was lost before.
+    Unknown,
+}
+
+/// A request that waits for a change to become durable.
+#[derive(Debug)]
+pub(crate) struct Waiter {
+    /// Number of the batch with the change.
+    pub(crate) batch_no: u64,
+    /// Job that is changed.
+    pub(crate) job: Name,
+    pub(crate) sender: oneshot::Sender<Outcome>,
+}
 
 /// Wake-up signal for one loop. Signals sent before the loop wakes are merged.
 #[derive(Debug)]
@@ -60,8 +77,10 @@
     pub(crate) append_wakeup: Notify,
     pub(crate) report_wakeup: Notify,
     pub(crate) shared: RefCell<Shared>,
-    /// Number of callers' requests in flight.
-    pub(crate) inflight: Cell<usize>,
+    /// Number of forwarded requests of other VMs in flight.
+    pub(crate) forwarded: Cell<usize>,
+    /// The shutdown in progress, if any.
+    pub(crate) drain: Cell<Option<Drain>>,
     metrics: PrometheusHandle,
 }
 
@@ -84,8 +103,8 @@
     /// Offset at which the leader's log ended after its last append.
     pub(crate) log_end: u64,
     pub(crate) manifest: Option<Rc<Manifest>>,
-    /// Requests that wait for a batch to become durable, with the number of the batch.
-    pub(crate) waiters: Vec<(u64, oneshot::Sender<Stored>)>,
+    /// Requests that wait for a change to become durable.
+    pub(crate) waiters: Vec<Waiter>,
     /// First attempt of the append in flight; 0 if there is none.
     pub(crate) append_started: Millis,
     /// Start of the current outage of appends; 0 while they succeed.
@@ -150,7 +169,8 @@
             append_wakeup: Notify::new(),
             report_wakeup: Notify::new(),
             shared: RefCell::new(shared),
-            inflight: Cell::new(0),
+            forwarded: Cell::new(0),
+            drain: Cell::new(None),
             metrics,
         }))
     }
@@ -202,9 +222,7 @@
         shared.election.step_down(now().mono);
         shared.append_started = 0;
         shared.unavailable_since = 0;
-        for (_, waiter) in shared.waiters.drain(..) {
-            let _ = waiter.send(false);
-        }
+        shared.fail_waiters();
     }
 }
 
@@ -214,6 +232,13 @@
         self.lead.is_some() && self.election.may_decide(now)
     }
 
+    /// Fails the requests that wait for a change to become durable: it may or may not.
+    pub(crate) fn fail_waiters(&mut self) {
+        for waiter in self.waiters.drain(..) {
+            let _ = waiter.sender.send(Outcome::Unknown);
+        }
+    }
+
     /// Returns the leader state if this VM is still the leader in `epoch`.
     pub(crate) fn lead_in(&mut self, epoch: u64) -> Option<&mut Lead> {
         self.lead.as_mut().filter(|lead| lead.epoch == epoch)
