Crashes are timed by the leader's clock where a worker's is wrong

What callers saw (by test only): a deadly job that is not ended, and does not run, for as long as a crashed worker's time of day is ahead, up to an hour: others might still have come back together with it.

Cause: the start that a worker names was taken for the time of its return.

Change: a start that is not in the last 10 s before the return is known does not count.

Test: a_clock_that_is_ahead_does_not_hold_up_the_end_of_a_deadly_job failed before.

--- a/crates/lead/src/crashes.rs
+++ b/crates/lead/src/crashes.rs
@@ -11,11 +11,14 @@
 pub(crate) const PROBATION: Millis = 300;
 /// Time for which returns of workers are kept, in milliseconds.
 const RETURN_RETENTION: Millis = 30_000;
+/// Time before its return becomes known within which a worker may have started, in milliseconds. A
+/// start that it names outside of it is by a time of day that is wrong.
+const MAX_RETURN_AGE: Millis = 10_000;
 
 impl Lead {
     /// Handles a new worker: one that had its address before has certainly crashed, unless it
     /// was leaving.
-    pub(crate) fn note_replaced(&mut self, info: &WorkerInfo) {
+    pub(crate) fn note_replaced(&mut self, info: &WorkerInfo, now: Now) {
         let replaced = |worker: &&Worker| {
             let other = &worker.info;
             other.addr == info.addr && other.id != info.id && other.incarnation < info.incarnation
@@ -23,7 +26,7 @@
         let ids: Vec<Name> =
             self.workers.values().filter(replaced).map(|worker| worker.info.id.clone()).collect();
         for id in ids {
-            let crash = self.note_crash(&id, info.incarnation);
+            let crash = self.note_crash(&id, return_time(info.incarnation, now));
             let Some(worker) = self.workers.get_mut(&id) else { continue };
             let runs = worker.runs.iter_mut();
             let blamed: Vec<(TaskId, Crash)> = runs
@@ -38,8 +41,8 @@
 
     /// Handles the restart of a worker under its identifier. A run is blamed once it is
     /// dropped, since the next incarnation may have it.
-    pub(crate) fn note_restart(&mut self, id: &Name, incarnation: u64) {
-        for (task, crash) in self.note_crash(id, incarnation) {
+    pub(crate) fn note_restart(&mut self, id: &Name, incarnation: u64, now: Now) {
+        for (task, crash) in self.note_crash(id, return_time(incarnation, now)) {
             self.blame(&task, crash);
         }
         if let Some(worker) = self.workers.get_mut(id) {
@@ -242,6 +245,12 @@
     }
 }
 
+/// Returns when a worker whose return becomes known at `now` has started.
+fn return_time(incarnation: u64, now: Now) -> Millis {
+    let known = now.unix.saturating_sub(MAX_RETURN_AGE)..=now.unix;
+    if known.contains(&incarnation) { incarnation } else { now.unix }
+}
+
 impl Run {
     /// Whether it may crash its worker, last heard of at a reading of its clock: it had not run for
     /// long by then, and is not one that an earlier incarnation was told to start.
--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -64,7 +64,7 @@
             worker.raises = self.raise_count;
             worker.shown_at = now.mono;
             event!("worker_new", worker = id, addr = info.addr, cpu = info.size.cpu);
-            self.note_replaced(&info);
+            self.note_replaced(&info, now);
         }
         let Some(worker) = self.workers.get_mut(&id) else { return new };
         let restarted = worker.info.incarnation != info.incarnation;
--- a/crates/lead/src/restart.rs
+++ b/crates/lead/src/restart.rs
@@ -14,7 +14,7 @@
     /// are certainly gone. A command may have reached the new incarnation before the restart
     /// was known, or may still reach it: its next list tells.
     pub(crate) fn on_restart(&mut self, id: &Name, incarnation: u64, source: &str, now: Now) {
-        self.note_restart(id, incarnation);
+        self.note_restart(id, incarnation, now);
         let batch = self.journal.add_worker(id);
         let max_lease = self.bounds.max_lease;
         let inherited_end = self.inherited_leases_end(now);
--- a/crates/lead/tests/crashes.rs
+++ b/crates/lead/tests/crashes.rs
@@ -392,3 +392,24 @@
         assert_ne!(fleet.lead.workers[&again.0].info.addr, first, "renamed: {renamed}");
     }
 }
+
+/// A crashed worker whose time of day was an hour ahead held up the end of a deadly job for as long:
+/// others might still have come back together with it.
+#[test]
+fn a_clock_that_is_ahead_does_not_hold_up_the_end_of_a_deadly_job() {
+    const AHEAD: Millis = 3_000_000;
+    let crash = |fleet: &mut Fleet, sent: &Sent| {
+        fleet.advance(2_000);
+        let incarnation = fleet.time().unix + AHEAD;
+        fleet.restart(&sent.0, incarnation);
+        for _ in 0..2 {
+            fleet.advance(10);
+            let now = fleet.now();
+            fleet.list_since(&sent.0, now, incarnation, &[]);
+        }
+    };
+    let mut fleet = Fleet::open(8);
+    fleet.accept("a", fleet_spec(Step { count: 1, ..Step::default() }));
+    let starts = play(&mut fleet, 12, &crash);
+    assert_eq!(fleet.lead.state("a"), Some(State::Failed), "{starts} starts");
+}
