Submissions too large for a record of the store are rejected

What callers saw: after one job whose specification was larger than a record of the store (a label or image of 300 KiB; only the text was limited), the leader repeated the refused append for good: the job was in doubt, every later one got 503.

Change: a specification that takes over 128 KiB is rejected with 400 before it reaches the leader. The largest specification without such strings stays below that by reckoning (256 steps that depend on all earlier ones take some 65 KiB), not by a run.

Test: node/tests/alone/acks.rs with a store that refuses records over 256 KiB; before the change the large job was in doubt, and the next one got NotDone instead of Accepted.

Not covered: batches of many records that together exceed the largest call of the store (`lead::Lead::take_batch` has no bound), and progress records of very large jobs.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -31,6 +31,9 @@
 /// unavailable. The delay grows with the outage, so that a caller's retries outlast one of
 /// several seconds.
 const MAX_RETRY_AFTER: u32 = 3;
+/// Largest encoded specification of a job, well within a record of the store. A record that the
+/// store refuses would block all later ones.
+const MAX_SPEC_BYTES: usize = 128 * 1024;
 /// Length of a job id, in hexadecimal digits.
 const JOB_ID_LENGTH: usize = 16;
 
@@ -83,6 +86,10 @@
     match verb {
         Verb::Submit(Ok(spec)) => {
             spec.check().map_err(|fault| fault.to_string())?;
+            let size = postcard::to_stdvec(spec).map_err(|e| e.to_string())?.len();
+            if size > MAX_SPEC_BYTES {
+                return Err(format!("the job takes {size} bytes, more than {MAX_SPEC_BYTES}"));
+            }
             Ok(Work::Submit(queue.clone(), id.into(), spec.clone()))
         }
         Verb::Submit(Err(why)) => Err(format!("body: {why}")),
--- a/crates/node/tests/alone/acks.rs
+++ b/crates/node/tests/alone/acks.rs
@@ -5,7 +5,7 @@
 use async_std::task::{self, spawn_local};
 use elect::Vm as EntryVm;
 use job::State;
-use port::{Batch, Item, Reply, Verb};
+use port::{AppendError, Batch, Item, Reply, Verb};
 
 use crate::vm::{Vm, submission};
 
@@ -67,3 +67,29 @@
         assert_eq!(vm.answer(Verb::Show, JOB).await, Reply::State(State::Cancelled));
     });
 }
+
+/// Guards against a job that the store refuses to store: its append would be retried for good, and
+/// nothing after it would become durable.
+#[test]
+fn a_job_too_large_for_the_store_stops_no_other() {
+    task::block_on(async {
+        let vm = Rc::new(Vm::spawn("").await);
+        vm.logs.held.set(true);
+        let store = Rc::clone(&vm);
+        let _serving = spawn_local(async move {
+            while let Ok((request, answer)) = store.appends.recv().await {
+                let fits = request.records.iter().all(|record| record.value.len() <= 256 << 10);
+                let refused = AppendError::Refused("status 413".into());
+                let end = if fits { Ok(store.logs.append(&request)) } else { Err(refused) };
+                let _ = answer.send(end);
+            }
+        });
+        let mut large = submission();
+        if let Verb::Submit(Ok(spec)) = &mut large {
+            spec.steps[0].image = "x".repeat(300 << 10).into();
+        }
+        let reply = vm.answer(large, "0000000000000001").await;
+        assert!(matches!(reply, Reply::Bad(_)), "{reply:?}");
+        assert_eq!(vm.answer(submission(), JOB).await, Reply::Accepted);
+    });
+}
