Workers are not kept isolated for suspects that can't start on them

Cause: a tenth of the workers could be held back for suspects that had no room there yet, or, as best-effort tasks beside a service, might not start there at all.

Change: one worker at a time is held for suspects that have to wait for room (a gang's number for a gang), and none for a best-effort task that would harm the service on it. All others are isolated only while a suspect is on probation there.

Test: a_suspect_that_may_not_start_on_a_worker_does_not_isolate_it failed before.

--- a/crates/lead/src/isolation.rs
+++ b/crates/lead/src/isolation.rs
@@ -14,6 +14,9 @@
 const MAX_LONE_WAIT: Millis = 1_000;
 /// Suspects that may share a worker on probation, unless crashes single one out.
 const MAX_GROUP: usize = 4;
+/// Workers that may be isolated at a time for suspects that can't start there yet. Their free
+/// capacity is closed to all others meanwhile.
+const MAX_HELD: usize = 1;
 /// Limit of suspects for which workers are isolated at a time; those that have waited longest come
 /// first.
 const MAX_PLANNED: usize = 64;
@@ -111,6 +114,7 @@
                 && req.under_limit(worker)
                 && worker.will_fit(&req)
                 && !self.crashed_on(id, worker.info.addr)
+                && self.is_harmless(&req, worker, now)
         })
     }
 
@@ -142,6 +146,7 @@
         let idle_limit = share(MAX_IDLE_ISOLATED_SHARE).max(limit);
         let mut isolated =
             usable.iter().filter(|worker| places.contains_key(&worker.info.id)).count();
+        let mut held = 0;
         let mut open: Vec<&Worker> = usable;
         open.retain(|worker| !places.contains_key(&worker.info.id));
         open.sort_by_cached_key(|worker| self.isolation_order(worker));
@@ -157,6 +162,7 @@
                     && req.under_limit(worker)
                     && ticket
                     && !self.reserved(name, &id, now)
+                    && self.is_harmless(&req, worker, now)
             };
             let joins = |(name, place): &(&Name, &mut Place)| {
                 place.admits(&req, alone) && self.workers.get(*name).is_some_and(&eligible)
@@ -175,9 +181,10 @@
             if isolated < if waited { idle_limit } else { limit } {
                 at = open.iter().position(|worker| at_once(worker) && untried(worker));
             }
-            if at.is_none() && isolated < limit {
+            if at.is_none() && isolated < limit && held < MAX_HELD.max(gang) {
                 at = open.iter().position(|worker| later(worker) && untried(worker));
                 at = at.or_else(|| open.iter().position(later));
+                held += usize::from(at.is_some());
             }
             let Some(worker) = at.map(|at| open.remove(at)) else { continue };
             isolated += 1;
@@ -188,6 +195,12 @@
         self.isolated = places.into_keys().collect();
     }
 
+    /// Whether no service on a worker would miss its latency target because of a task.
+    fn is_harmless(&self, req: &Requirements<'_>, worker: &Worker, now: Now) -> bool {
+        let interference = |image: &Name| self.model.interference(image, &req.step.image);
+        !req.step.best_effort || self.score(req, worker, &interference, now).is_some()
+    }
+
     /// Returns the suspects that wait for a worker, those that have waited longest first.
     fn waiting_suspects(&self, now: Now) -> Vec<TaskId> {
         let waits = |id: &&TaskId| {
--- a/crates/lead/src/search.rs
+++ b/crates/lead/src/search.rs
@@ -219,7 +219,7 @@
 
     /// Scores a worker that meets the requirements (higher is better); `None` if a
     /// best-effort task would push a service task there over its latency target.
-    fn score(
+    pub(crate) fn score(
         &self,
         req: &Requirements<'_>,
         worker: &Worker,
--- a/crates/lead/tests/crashes.rs
+++ b/crates/lead/tests/crashes.rs
@@ -413,3 +413,42 @@
     let starts = play(&mut fleet, 12, &crash);
     assert_eq!(fleet.lead.state("a"), Some(State::Failed), "{starts} starts");
 }
+
+/// A best-effort suspect that would have harmed the service on the only worker left kept that
+/// worker isolated, so that its free capacity stayed empty.
+#[test]
+fn a_suspect_that_may_not_start_on_a_worker_does_not_isolate_it() {
+    let mut fleet = Fleet::open(2);
+    let service = Step {
+        count: 1,
+        long_running: true,
+        latency_target: 50,
+        image: "web".into(),
+        ..Step::default()
+    };
+    fleet.accept("s", fleet_spec(service));
+    fleet.start_all();
+    for tail in [15, 60] {
+        fleet.advance(500);
+        fleet.report_latency(&|_| tail);
+    }
+    let filling = Step { count: 1, best_effort: true, image: "fill".into(), ..Step::default() };
+    fleet.accept("f", fleet_spec(filling));
+    let sent = fleet.starts().remove(0);
+    fleet.reply_start(&sent, Ok(1));
+    fleet.advance(2_000);
+    let incarnation = fleet.time().unix;
+    fleet.restart(&sent.0, incarnation);
+    fleet.leave(&sent.0);
+    for _ in 0..2 {
+        fleet.store();
+        fleet.advance(100);
+        let now = fleet.now();
+        fleet.list_since(&sent.0, now, incarnation, &[]);
+        fleet.report_latency(&|_| 60);
+        assert!(fleet.starts().is_empty(), "a start beside a service that misses its target");
+    }
+    fleet.accept("p", fleet_spec(Step { count: 1, ..Step::default() }));
+    let starts = fleet.starts();
+    assert_eq!(starts.len(), 1, "the plain task starts on the worker of the service");
+}
