--- a/crates/lead/src/audit.rs
+++ b/crates/lead/src/audit.rs
@@ -162,6 +162,15 @@
     }
 }
 
+/// Resets the gauges when this process no longer leads.
+pub(crate) fn reset_audit_metrics() {
+    for phase in TaskPhase::ALL {
+        metrics::gauge!("tasks", "phase" => phase.label()).set(0.0);
+    }
+    metrics::gauge!("lasting_down").set(0.0);
+    metrics::gauge!("lasting_down_ms").set(0.0);
+}
+
 fn name_of(count: &PhaseCount) -> String {
     count.oldest.as_ref().map_or_else(|| "none".to_owned(), TaskId::to_string)
 }
--- a/crates/lead/src/load.rs
+++ b/crates/lead/src/load.rs
@@ -1,7 +1,7 @@
 use base::{Millis, Now, event};
 use job::Step;
 
-use crate::Lead;
+use crate::{Lead, audit::reset_audit_metrics};
 
 /// Interval between load reports, in milliseconds.
 const REPORT_INTERVAL: Millis = 1_000;
@@ -94,6 +94,7 @@
     for kind in [TaskKind::Service, TaskKind::BestEffort, TaskKind::Plain] {
         metrics::gauge!("waiting_tasks", "kind" => kind.label()).set(0.0);
     }
+    reset_audit_metrics();
     metrics::gauge!("free_cpu").set(0.0);
     metrics::gauge!("largest_piece").set(0.0);
     metrics::gauge!("longest_wait_ms").set(0.0);
