Suspects have a planned worker each; machines are known by address

Cause: what `isolate` had planned and where `find_isolated` looked were two decisions, with other conditions (tickets, limits per worker, room for groups). The machine of a crash was looked up among what the present leader remembered.

Change: `isolate` plans a worker for each suspect and only that one is tried; members of gangs run alone and are planned together; a crash records the address of its worker; a suspect waits only for siblings on workers that reply; ten crashes with no other candidate suffice, on whatever machines.

--- a/crates/job/src/record.rs
+++ b/crates/job/src/record.rs
@@ -39,8 +39,10 @@
 /// A crash of a worker that a task may have caused.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
-    /// Worker that crashed.
-    pub worker: Name,
+    /// Address of the worker that crashed, which it keeps where it comes back under another
+    /// identifier. Records of earlier versions have the identifier.
+    #[serde(rename = "worker")]
+    pub machine: Name,
     /// Incarnation of the worker that crashed.
     pub incarnation: u64,
     /// Whether no other task can have caused it.
--- a/crates/job/tests/jobs.rs
+++ b/crates/job/tests/jobs.rs
@@ -73,7 +73,8 @@
 /// leave them without progress.
 #[test]
 fn crashes_are_restored_and_earlier_records_without_them_are_read() {
-    let crash = Crash { worker: "w".into(), incarnation: 7, sole: true, confirmed: true };
+    let crash =
+        Crash { machine: "127.0.0.1:7".into(), incarnation: 7, sole: true, confirmed: true };
     let mut job = job(spec(vec![step(2, &[])]));
     job.begin(0);
     job.open_steps(0);
--- a/crates/lead/src/crashes.rs
+++ b/crates/lead/src/crashes.rs
@@ -75,26 +75,26 @@
         event!(
             "worker_crashed",
             worker = id,
+            machine = addr,
             born = incarnation,
             back = back_at,
             runs = worker.runs.len(),
             candidates = candidates.len()
         );
         let sole = run_ids.len() == 1;
-        let crash = |confirmed| Crash { worker: id.clone(), incarnation, sole, confirmed };
+        let machine: Name = addr.to_string().into();
+        let crash = |confirmed| Crash { machine: machine.clone(), incarnation, sole, confirmed };
         for run in worker.runs.values_mut().filter(|run| run.may_crash(clock)) {
             run.crash = Some(crash(run.since.is_some()));
         }
-        let worker = id.clone();
         let lost = lost.into_iter().map(|(task, _)| (task, crash(true))).collect();
-        let candidates = tasks;
         self.returns.push(Return {
-            worker,
+            machine,
             addr,
             incarnation,
             replied_at,
             back_at,
-            candidates,
+            candidates: tasks,
             suspected,
         });
         lost
@@ -126,7 +126,7 @@
         let gang = job.step(id).filter(|step| step.gang).map(|step| step.count);
         let Some(task) = job.task_mut(id).filter(|task| !task.done) else { return };
         let same = |other: &Crash| {
-            (&other.worker, other.incarnation) == (&crash.worker, crash.incarnation)
+            (&other.machine, other.incarnation) == (&crash.machine, crash.incarnation)
         };
         if task.crashes.iter().any(same) {
             return;
@@ -134,7 +134,7 @@
         event!(
             "crash_blamed",
             task = id,
-            worker = crash.worker,
+            machine = crash.machine,
             born = crash.incarnation,
             sole = crash.sole,
             confirmed = crash.confirmed,
@@ -228,8 +228,8 @@
 
     /// Ends a job with a task that crashes its workers.
     fn give_up(&mut self, id: &TaskId, now: Now) {
-        let workers: Vec<String> =
-            self.crashes_of(id).iter().map(|crash| crash.worker.to_string()).collect();
+        let machines: Vec<String> =
+            self.crashes_of(id).iter().map(|crash| crash.machine.to_string()).collect();
         let Some(job) = self.jobs.get_mut(&id.job).filter(|job| !job.is_terminal()) else { return };
         job.failed = true;
         event!(
@@ -237,8 +237,8 @@
             job = id.job,
             task = id,
             why = "crashes",
-            crashes = workers.len(),
-            workers = workers.join(",")
+            crashes = machines.len(),
+            machines = machines.join(",")
         );
         self.end_job(&id.job, now);
         self.journal.add_progress(&id.job);
--- a/crates/lead/src/evidence.rs
+++ b/crates/lead/src/evidence.rs
@@ -15,8 +15,10 @@
 const MAX_CONFIRMED_CRASHES: usize = 3;
 /// The same with starts that were not confirmed.
 const MAX_CRASHES: usize = 5;
-/// Recent crashes under other tasks, for each worker, for which it takes one
-/// more crash to give up a task.
+/// Crashes that only one task can have caused, of whatever machines, after which it is given up.
+const MAX_REPEATED_CRASHES: usize = 10;
+/// Recent crashes under other tasks, for each worker, for which it takes one more crash to give up a
+/// task.
 const SPONTANEOUS_CRASHES: f64 = 0.5;
 /// Limit of the additional crashes.
 const MAX_MORE_CRASHES: usize = 2;
@@ -32,8 +34,8 @@
 /// A worker's return after a crash.
 #[derive(Debug, Clone)]
 pub(crate) struct Return {
-    pub(crate) worker: Name,
-    /// Address of the worker, which it keeps under another identifier.
+    /// Address of the worker, which it keeps under another identifier, as in [`Crash::machine`].
+    pub(crate) machine: Name,
     pub(crate) addr: SocketAddr,
     /// Incarnation that crashed.
     pub(crate) incarnation: u64,
@@ -57,7 +59,7 @@
             let of_task = job.task(&TaskId { index, ..id.clone() });
             for crash in of_task.into_iter().flat_map(|task| &task.crashes) {
                 let same = |other: &&Crash| {
-                    (&other.worker, other.incarnation) == (&crash.worker, crash.incarnation)
+                    (&other.machine, other.incarnation) == (&crash.machine, crash.incarnation)
                 };
                 if !crashes.iter().any(same) {
                     crashes.push(crash);
@@ -68,7 +70,7 @@
     }
 
     /// Whether the crashes under a task prove that it crashes its workers. Crashes of one machine
-    /// prove no more than one: it may crash by itself.
+    /// prove no more than one, but for a long series: it may crash by itself.
     pub(crate) fn is_proven_deadly(&self, id: &TaskId) -> bool {
         let crashes = self.crashes_of(id);
         let sole: Vec<&Crash> =
@@ -78,16 +80,16 @@
         }
         let confirmed = |crashes: &[&Crash]| {
             let confirmed = crashes.iter().copied().filter(|crash| crash.confirmed);
-            self.count_machines(confirmed)
+            count_machines(confirmed)
         };
         let more = self.more_crashes(id);
-        let (all_sole, confirmed_sole) =
-            (self.count_machines(sole.iter().copied()), confirmed(&sole));
-        let all = self.count_machines(crashes.iter().copied());
+        let (all_sole, confirmed_sole) = (count_machines(sole.iter().copied()), confirmed(&sole));
+        let all = count_machines(crashes.iter().copied());
         confirmed_sole >= MAX_SOLE_CRASHES + more
             || all_sole >= MAX_UNCONFIRMED_CRASHES + more
             || (confirmed_sole > more && confirmed(&crashes) >= MAX_CONFIRMED_CRASHES + more)
             || (all_sole > more && all >= MAX_CRASHES + more)
+            || sole.len() >= MAX_REPEATED_CRASHES
     }
 
     /// Whether a crash that is not one of many can only have been caused by a task.
@@ -105,21 +107,9 @@
         self.crashes_of(id).len() > 1 || self.is_sole_cause(id)
     }
 
-    /// Counts the machines that crashed. One that comes back under another identifier keeps its
-    /// address.
-    fn count_machines<'a>(&self, crashes: impl Iterator<Item = &'a Crash>) -> usize {
-        let machine = |crash: &Crash| {
-            let back = self.return_of(crash).map(|back| back.addr);
-            let addr = back.or_else(|| Some(self.workers.get(&crash.worker)?.info.addr));
-            addr.map_or_else(|| crash.worker.to_string(), |addr| addr.to_string())
-        };
-        crashes.map(machine).collect::<BTreeSet<String>>().len()
-    }
-
-    /// Whether a task crashed on a machine, by its address.
-    pub(crate) fn crashed_on(&self, id: &TaskId, addr: SocketAddr) -> bool {
-        let on = |crash: &&Crash| self.return_of(crash).is_some_and(|back| back.addr == addr);
-        self.crashes_of(id).iter().any(on)
+    /// Returns the addresses of the machines that have crashed under a task.
+    pub(crate) fn tried_machines(&self, id: &TaskId) -> Vec<SocketAddr> {
+        self.crashes_of(id).iter().filter_map(|crash| crash.machine.parse().ok()).collect()
     }
 
     /// Returns how many more crashes than usual it takes to give up a task, since workers have
@@ -154,7 +144,7 @@
     /// task that had to run alone.
     fn count_returns(&self, own: &Return) -> (usize, usize) {
         let together =
-            self.returns.iter().filter(|back| back.worker != own.worker && back.is_together(own));
+            self.returns.iter().filter(|back| back.machine != own.machine && back.is_together(own));
         let unsuspected = together.clone().filter(|back| !back.suspected);
         (together.clone().count(), unsuspected.count())
     }
@@ -170,10 +160,15 @@
     fn return_of(&self, crash: &Crash) -> Option<&Return> {
         self.returns
             .iter()
-            .find(|back| (&back.worker, back.incarnation) == (&crash.worker, crash.incarnation))
+            .find(|back| (&back.machine, back.incarnation) == (&crash.machine, crash.incarnation))
     }
 }
 
+/// Counts the machines that crashed.
+fn count_machines<'a>(crashes: impl Iterator<Item = &'a Crash>) -> usize {
+    crashes.map(|crash| &crash.machine).collect::<BTreeSet<&Name>>().len()
+}
+
 impl Return {
     /// Whether two workers may have crashed at the same time: they were last heard of, or came
     /// back, together.
--- a/crates/lead/src/isolation.rs
+++ b/crates/lead/src/isolation.rs
@@ -17,8 +17,8 @@
 /// Workers that may be isolated at a time for suspects that can't start there yet. Their free
 /// capacity is closed to all others meanwhile.
 const MAX_HELD: usize = 1;
-/// Limit of suspects for which workers are isolated at a time; those that have waited longest come
-/// first.
+/// Limit of suspects for which workers are isolated at a time, but for the members of a gang; those
+/// that have waited longest come first.
 const MAX_PLANNED: usize = 64;
 /// Interval at which workers are polled for suspects on probation, in milliseconds.
 const PROBATION_POLL_INTERVAL: Millis = 150;
@@ -59,12 +59,14 @@
     }
 
     /// Whether a suspect may only run where no other run can be blamed for a crash. Those that have
-    /// waited for long share workers, unless crashes have singled them out, or they are copies, whose
-    /// other runs may still crash their workers.
+    /// waited for long share workers, unless crashes have singled them out, or they are members of a
+    /// gang, or copies, whose other runs may still crash their workers.
     pub(crate) fn starts_alone(&self, id: &TaskId, now: Now) -> bool {
         let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
         let copy = task.is_some_and(|task| !task.workers.is_empty());
-        copy || self.waited(&id.step_id(), now) < MAX_LONE_WAIT || self.is_singled_out(id)
+        copy || self.gang_size(id).is_some()
+            || self.waited(&id.step_id(), now) < MAX_LONE_WAIT
+            || self.is_singled_out(id)
     }
 
     /// Whether a task may start beside the runs on a worker: a suspect only where no other run but
@@ -81,51 +83,53 @@
             })
     }
 
-    /// Returns an isolated worker for a suspect.
+    /// Returns the worker that is isolated for a suspect, if the suspect may start there now.
     pub(crate) fn find_isolated(&mut self, id: &TaskId, now: Now) -> Option<Name> {
-        if self.is_proven_deadly(id) || self.awaits_sibling(id) {
-            return None;
-        }
         if self.needs_ticket(id) {
             self.request_ticket(id, now);
         }
-        let isolated = |worker: &Name| self.isolated.contains(worker);
-        let untried = |worker: &Name| isolated(worker) && !self.has_crashed(id, worker);
-        let found = self.find_worker_where(id, now, &|worker, _| untried(worker));
-        if found.is_some() || self.has_untried_worker(id, now) {
-            return found;
+        let worker = self.planned.get(id)?;
+        if self.is_proven_deadly(id) || self.awaits_sibling(id, now) {
+            return None;
         }
-        self.find_worker_where(id, now, &|worker, _| isolated(worker))
+        self.may_start_on(id, worker, now).then(|| worker.clone())
     }
 
-    /// Whether a worker's machine has crashed under a task, so that another crash there would prove
-    /// nothing more.
-    fn has_crashed(&self, id: &TaskId, worker: &Name) -> bool {
-        self.workers.get(worker).is_some_and(|worker| self.crashed_on(id, worker.info.addr))
+    /// Whether a worker may be isolated for a suspect, disregarding its room.
+    fn is_eligible(&self, id: &TaskId, req: &Requirements<'_>, worker: &Worker, now: Now) -> bool {
+        let name = &worker.info.id;
+        req.matches(worker)
+            && req.under_limit(worker)
+            && (!req.needs_ticket || self.ticket(id, name, now).is_some())
+            && !self.reserved(name, id, now)
+            && self.is_harmless(req, worker, now)
     }
 
-    /// Whether a worker can take a task whose machine has not crashed under it.
-    fn has_untried_worker(&self, id: &TaskId, now: Now) -> bool {
-        let Some(req) = self.requirements(id) else { return false };
-        let stored = self.durable_batch();
+    /// Whether a worker can take a suspect whose machine has not crashed under it.
+    fn has_untried_worker(&self, id: &TaskId, req: &Requirements<'_>, now: Now) -> bool {
+        let (stored, tried) = (self.durable_batch(), self.tried_machines(id));
         let mut usable = self.workers.values().filter(|w| w.usable(stored, now.mono));
         usable.any(|worker| {
-            req.matches(worker)
-                && req.under_limit(worker)
-                && worker.will_fit(&req)
-                && !self.crashed_on(id, worker.info.addr)
-                && self.is_harmless(&req, worker, now)
+            !tried.contains(&worker.info.addr)
+                && worker.will_fit(req)
+                && self.is_eligible(id, req, worker, now)
         })
     }
 
     /// Whether a likely cause of a crash waits until another one of its job has proven harmless, or
     /// has ended the job.
-    fn awaits_sibling(&self, id: &TaskId) -> bool {
+    fn awaits_sibling(&self, id: &TaskId, now: Now) -> bool {
         if self.gang_size(id).is_some() || !self.is_sole_cause(id) {
             return false;
         }
+        let stored = self.durable_batch();
+        let replies = |worker: &Name| {
+            self.workers.get(worker).is_some_and(|worker| worker.usable(stored, now.mono))
+        };
         let mut runs = self.probation_runs();
-        runs.any(|(_, other, run)| run.alone && other.job == id.job && other != id)
+        runs.any(|(worker, other, run)| {
+            run.alone && other.job == id.job && other != id && replies(&worker)
+        })
     }
 
     /// Isolates workers for the suspects that wait. Beyond a small share of the workers, and only for
@@ -133,6 +137,7 @@
     /// that work waits for isolation hardly longer than for room.
     pub(crate) fn isolate(&mut self, now: Now) {
         if self.suspects.is_empty() {
+            self.planned.clear();
             return self.isolated.clear();
         }
         let waiting = self.waiting_suspects(now);
@@ -147,31 +152,28 @@
         let mut isolated =
             usable.iter().filter(|worker| places.contains_key(&worker.info.id)).count();
         let mut held = 0;
+        let mut planned = BTreeMap::new();
         let mut open: Vec<&Worker> = usable;
         open.retain(|worker| !places.contains_key(&worker.info.id));
         open.sort_by_cached_key(|worker| self.isolation_order(worker));
         for id in waiting {
-            let Some(req) = self.requirements(&id).filter(|_| !self.awaits_sibling(&id)) else {
+            let Some(req) = self.requirements(&id).filter(|_| !self.awaits_sibling(&id, now))
+            else {
                 continue;
             };
             let alone = self.starts_alone(&id, now);
-            let eligible = |worker: &Worker| {
-                let name = &worker.info.id;
-                let ticket = !req.needs_ticket || self.ticket(&id, name, now).is_some();
-                req.matches(worker)
-                    && req.under_limit(worker)
-                    && ticket
-                    && !self.reserved(name, &id, now)
-                    && self.is_harmless(&req, worker, now)
-            };
+            let tried = self.tried_machines(&id);
+            let untried = |worker: &Worker| !tried.contains(&worker.info.addr);
+            let eligible = |worker: &Worker| self.is_eligible(&id, &req, worker, now);
             let joins = |(name, place): &(&Name, &mut Place)| {
-                place.admits(&req, alone) && self.workers.get(*name).is_some_and(&eligible)
+                let worker = self.workers.get(*name).filter(|worker| untried(worker));
+                place.admits(&req, alone) && worker.is_some_and(&eligible)
             };
-            if let Some((_, place)) = places.iter_mut().find(joins) {
+            if let Some((name, place)) = places.iter_mut().find(joins) {
                 place.add(&req, alone);
+                planned.insert(id, name.clone());
                 continue;
             }
-            let untried = |worker: &Worker| !self.crashed_on(&id, worker.info.addr);
             let at_once = |worker: &&Worker| {
                 worker.group() == Some(0) && req.fits_on(worker) && eligible(worker)
             };
@@ -183,7 +185,9 @@
             }
             if at.is_none() && isolated < limit && held < MAX_HELD.max(gang) {
                 at = open.iter().position(|worker| later(worker) && untried(worker));
-                at = at.or_else(|| open.iter().position(later));
+                if at.is_none() && !self.has_untried_worker(&id, &req, now) {
+                    at = open.iter().position(later);
+                }
                 held += usize::from(at.is_some());
             }
             let Some(worker) = at.map(|at| open.remove(at)) else { continue };
@@ -191,8 +195,10 @@
             let mut place = Place { free: worker.free(), suspects: 0, alone: false };
             place.add(&req, alone);
             places.insert(worker.info.id.clone(), place);
+            planned.insert(id, worker.info.id.clone());
         }
         self.isolated = places.into_keys().collect();
+        self.planned = planned;
     }
 
     /// Whether no service on a worker would miss its latency target because of a task.
@@ -214,7 +220,8 @@
             let accepted_at = self.jobs.get(&id.job).map_or(0, |job| job.accepted_at);
             (std::cmp::Reverse(self.waited(&id.step_id(), now)), accepted_at)
         });
-        waiting.truncate(MAX_PLANNED);
+        let gang = waiting.iter().filter_map(|id| self.gang_size(id)).max().unwrap_or(0);
+        waiting.truncate(MAX_PLANNED.max(gang));
         waiting
     }
 
--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -163,6 +163,8 @@
     pub(crate) suspects: BTreeSet<TaskId>,
     /// Workers that get no tasks but suspects.
     pub(crate) isolated: BTreeSet<Name>,
+    /// Workers on which suspects are to start.
+    pub(crate) planned: BTreeMap<TaskId, Name>,
     /// Crashes of workers that came back recently.
     pub(crate) returns: Vec<Return>,
     /// Phases of the tasks at the last audit.
@@ -212,6 +214,7 @@
             recurring: BTreeSet::new(),
             suspects: BTreeSet::new(),
             isolated: BTreeSet::new(),
+            planned: BTreeMap::new(),
             returns: Vec::new(),
             phases: Phases::new(),
         };
--- a/crates/lead/src/search.rs
+++ b/crates/lead/src/search.rs
@@ -94,6 +94,15 @@
         self.best_candidate(id, &mut candidates, now)
     }
 
+    /// Whether a task may start on a worker now.
+    pub(crate) fn may_start_on(&self, id: &TaskId, worker: &Name, now: Now) -> bool {
+        let (req, worker) = (self.requirements(id), self.workers.get(worker));
+        let score = req
+            .zip(worker)
+            .and_then(|(req, worker)| self.evaluate(id, &req, &BTreeMap::new(), worker, now));
+        score.is_some()
+    }
+
     /// Starts a placement pass: notes which workers have improved since the last one.
     pub(crate) fn begin_pass(&mut self) {
         self.pass += 1;
