--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")" || exit 2
 exec python3 - <<'PY'
 import glob, sys
-files = sorted(glob.glob("common-2/*.py") + [f"{n}/case.py" for n in range(6, 11)])
+files = sorted(glob.glob("common-2/*.py") + [name for n in range(6, 11) for name in glob.glob(f"{n}/case.py")])
 for name in files:
     with open(name) as file:
         compile(file.read(), name, "exec")
--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -74,8 +74,11 @@
     open_channels = asyncio.Semaphore(channels)
 
     async def channel(reader, writer):
-        async with open_channels:
-            await serve_channel(reader, writer)
+        try:
+            async with open_channels:
+                await serve_channel(reader, writer)
+        except asyncio.CancelledError:
+            writer.close()
 
     async def serve_channel(reader, writer):
         try:
