--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -68,9 +68,11 @@
     return lines[0], headers, body
 
 
-async def serve_http(handler, channels=100_000):
+async def serve_http(handler, channels=100_000, writers=None):
     """Serves HTTP/1.1 with kept channels, so many at a time; further ones wait. `handler(method,
-    path, query, headers, body)` returns (status, content type, bytes), or None for no answer."""
+    path, query, headers, body)` returns (status, content type, bytes), or None for no answer.
+    `writers`, if given, holds the open channels."""
+    writers = set() if writers is None else writers
     open_channels = asyncio.Semaphore(channels)
 
     async def channel(reader, writer):
@@ -81,6 +83,7 @@
             writer.close()
 
     async def serve_channel(reader, writer):
+        writers.add(writer)
         try:
             while True:
                 first, headers, body = await read_message(reader)
@@ -97,6 +100,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, ValueError, asyncio.CancelledError):
             pass
         finally:
+            writers.discard(writer)
             writer.close()
 
     server = await asyncio.start_server(channel, "127.0.0.1", 0, limit=1 << 26, backlog=1000)
@@ -252,7 +256,7 @@
     def __init__(self, name, service, store, record, cpu=16_000, rack="r-1", kind="a"):
         self.name, self.service, self.store, self.record = name, service, store, record
         self.cpu, self.rack, self.kind, self.born, self.booted = cpu, rack, kind, unix(), mono()
-        self.lost = False
+        self.lost, self.silent, self.channels = False, False, set()
         self.token, self.deadline, self.runs, self.highest = 0, 0, {}, {}
         self.ends, self.count, self.acked, self.seq = [], 0, 0, 0
         self.ended = asyncio.Event()
@@ -265,7 +269,7 @@
         return mono() - self.booted + 1
 
     async def open(self):
-        _, self.port = await serve_http(self.handle, channels=64)
+        _, self.port = await serve_http(self.answer, 64, self.channels)
         asyncio.ensure_future(self.beat())
         asyncio.ensure_future(self.work())
 
@@ -275,6 +279,21 @@
                 "slots": 8, "state": "ready", "cold_remaining_ms": 0, "seq": self.seq, "born": self.born,
                 "capacity": {"cpu": self.cpu, "mem_mb": 250_000, "gpu": 0}, "labels": [self.kind, self.rack]}
 
+    async def answer(self, *request):
+        """Answers a call, unless the worker is cut off by then."""
+        result = None if self.silent else await self.handle(*request)
+        return None if self.silent else result
+
+    def restart(self):
+        """Crashes the worker and starts it again at once; it knows nothing of before."""
+        for channel in list(self.channels):
+            channel.transport.abort()
+        for run in self.runs.values():
+            run["row"][3], run["row"][4] = at(), "gone"
+        self.born, self.booted, self.token, self.deadline = unix(), mono(), 0, 0
+        self.runs, self.highest, self.ends, self.count, self.acked = {}, {}, [], 0, 0
+        self.record(f"{self.name} crashes and is back")
+
     def lose(self):
         """Loses the worker for good: it says nothing more, and all that it runs is gone."""
         self.lost = True
@@ -285,7 +304,8 @@
 
     async def beat(self):
         while not self.lost:
-            self.store.put("keyed.servers", self.name, json.dumps(self.entry()).encode())
+            if not self.silent:
+                self.store.put("keyed.servers", self.name, json.dumps(self.entry()).encode())
             await asyncio.sleep(1.1)
         await asyncio.sleep(2.2)
         self.store.put("keyed.servers", self.name, b"")     # after three intervals of silence
@@ -491,7 +511,7 @@
                   "listen.frontend": f"127.0.0.1:{self.ports['callers']}",
                   "listen.readiness": f"127.0.0.1:{self.ports['health']}", "ip": "127.0.0.1",
                   "internal_ports.0": self.ports["peers"],
-                  "platform.address": f"127.0.0.1:{self.system.store.ports[self.name]}", "advice": f"127.0.0.1:{self.system.advice_port}" if self.system.advice_port else "",
+                  "platform.address": f"127.0.0.1:{self.system.store.ports[self.name]}", "advice": self.system.advice,
                   "limits.cpu_share": 0.25, "limits.cores": 1, "bounds.hold_max_ms": HOLD_MAX,
                   "bounds.remote_factor": 1.5, "bounds.restore_ms": 600, "bounds.impact_ms": 4000,
                   "bounds.grace_s": 6}
@@ -531,7 +551,7 @@
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.store = Store(record)
         self.vms = {f"edge-{i}": Vm(f"edge-{i}", self) for i in range(1, vms + 1)}
-        self.workers, self.cut, self.advice_port = {}, set(), None
+        self.workers, self.cut, self.advice = {}, set(), ""
 
     def separates(self, one, other):
         return one != other and (one in self.cut or other in self.cut)
@@ -544,7 +564,7 @@
         value = {"version": version, "services": {}, "limits": {}, "routes": [
             {"name": n, "host": h, "path_prefix": p, "service": s, "priority": q, "max_attempts": a,
              "stretch": 2.0, "target_latency_ms": 1000,
-             **({"advice": {"decide_ms": 20, "period_ms": 2, "valid_ms": 3000}} if self.advice_port else {})} for n, h, p, s, q, a in routes]}
+             **({"advice": {"decide_ms": 20, "period_ms": 2, "valid_ms": 3000}} if self.advice else {})} for n, h, p, s, q, a in routes]}
         self.store.put("keyed.op", "config", json.dumps(value).encode())
 
     async def start(self):
