Inherited tasks wait for the last page of each worker's completions

Cause: a worker lists at most 500 completions in a reply. Lead::on_poll took the first list, a full page of some 650, for all that the worker had to tell (synced), the leader was settled, and inherited tasks that nothing listed were started.

Change: Worker::listed_all is set by a list with less than a full page; settled waits for it, or, where such a worker falls silent, for the leases that this leader has renewed meanwhile. Renewals go on by synced. A draining worker's record is deleted only after its last page.

Ruled out: the wait for a page with the store away (runs keep their leases, nothing starts), relays (they pass completions on unchanged), drop_unlisted (kept runs on full pages already).

--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -442,25 +442,29 @@
     }
 
     /// Returns whether the runs of earlier leaders are known: every worker has listed its
-    /// runs, or the leases that those leaders granted have certainly expired. Another leader that
-    /// had taken over before their end would have renewed them.
+    /// runs and completions, or the leases that those leaders and this one granted have certainly
+    /// expired. Another leader that had taken over before their end would have renewed them.
     pub fn settled(&mut self, now: Now) -> bool {
         if !self.settled {
-            let silent = self.workers.values().filter(|worker| !worker.synced);
-            let last_end = silent.map(|worker| worker.earlier_leases_end).max();
+            let unlisted = self.workers.values().filter(|worker| !worker.listed_all);
+            let last_end = unlisted.map(Worker::unlisted_until).max();
             let all = last_end.is_none();
             let expired = self.unclaimed_at >= self.settle_deadline.max(last_end.unwrap_or(0));
             self.settled = (all && !self.workers.is_empty()) || expired;
             if self.settled {
                 self.settled_at = now.mono;
-                let silent = self.workers.iter().filter(|(_, worker)| !worker.synced);
-                let silent: Vec<&str> = silent.map(|(id, _)| &**id).take(MAX_NAMES).collect();
+                let names = |filter: &dyn Fn(&Worker) -> bool| {
+                    let workers = self.workers.iter().filter(|(_, worker)| filter(worker));
+                    let names: Vec<&str> = workers.map(|(id, _)| &**id).take(MAX_NAMES).collect();
+                    names.join(",")
+                };
                 event!(
                     "settled",
                     epoch = self.epoch,
                     all_listed = all,
                     workers = self.workers.len(),
-                    silent = silent.join(","),
+                    silent = names(&|worker| !worker.synced),
+                    unlisted = names(&|worker| worker.synced && !worker.listed_all),
                     unclaimed = now.mono.saturating_sub(self.unclaimed_at)
                 );
             }
--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -135,7 +135,7 @@
         worker.lease_expiry = worker.lease_expiry.max(deadline.unwrap_or(0));
         // A worker that has restarted would take the deadline for the longest lease.
         let deadline = deadline.filter(|_| worker.doubted_at == 0);
-        let wait = if at_once || !worker.synced { 0 } else { worker.list_wait() };
+        let wait = if at_once || !worker.listed_all { 0 } else { worker.list_wait() };
         Some((worker.poll_addr(), Poll { token, acked: worker.ack_cursor(), deadline, wait }))
     }
 
@@ -288,10 +288,22 @@
         if !full {
             self.drop_unlisted(id, &listed, sent, now);
         }
-        let unsynced = |worker: &&mut Worker| !worker.synced && !doubted;
-        if let Some(worker) = self.workers.get_mut(id).filter(unsynced) {
+        let Some(worker) = self.workers.get_mut(id).filter(|_| !doubted) else { return };
+        if !full && !worker.listed_all {
+            worker.listed_all = true;
+            if worker.synced {
+                event!("worker_listed_all", worker = id, last = worker.last_completion);
+            }
+        }
+        if !worker.synced {
             worker.synced = true;
-            event!("worker_synced", worker = id, runs = worker.runs.len(), epoch = self.epoch);
+            event!(
+                "worker_synced",
+                worker = id,
+                runs = worker.runs.len(),
+                epoch = self.epoch,
+                all = worker.listed_all
+            );
             if !worker.runs.is_empty() {
                 // Renews the leases of the runs that a previous leader started.
                 self.commands.push(Command::Poll(id.clone()));
--- a/crates/lead/src/restart.rs
+++ b/crates/lead/src/restart.rs
@@ -32,6 +32,7 @@
         worker.restarted_at = now.mono;
         worker.record_batch = Some(batch);
         worker.synced = false;
+        worker.listed_all = false;
         worker.clock = None;
         worker.list_clock = 0;
         worker.listed_since = 0;
@@ -166,6 +167,7 @@
         let inherited_end = self.inherited_leases_end(now);
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.synced = false;
+        worker.listed_all = false;
         worker.hold_earlier_leases(max_lease, now.mono);
         worker.earlier_leases_end = worker.earlier_leases_end.max(inherited_end);
         self.doubt(id, now);
--- a/crates/lead/src/watch.rs
+++ b/crates/lead/src/watch.rs
@@ -59,6 +59,7 @@
         event!("leases_expired", worker = id, runs = worker.runs.len(), listed = worker.listed);
         // Its earlier lists are void: it has to list its runs again before it gets work.
         worker.synced = false;
+        worker.listed_all = false;
         self.touched.insert(id.clone());
         let runs: Vec<TaskId> = worker.runs.keys().cloned().collect();
         self.note_lost(id);
@@ -83,13 +84,13 @@
         self.retire(id);
     }
 
-    /// Deletes the record of a draining worker that has listed no runs, so that the next leader
-    /// does not wait for it. An earlier leader may have started runs there after an earlier list if
+    /// Deletes the record of a draining worker that has listed no runs, and all its completions, so
+    /// that the next leader does not wait for it. An earlier leader may have started runs there after an earlier list if
     /// it has restarted unnoticed.
     fn retire(&mut self, id: &Name) {
         let commands_end = self.commands_end;
         let Some(worker) = self.workers.get_mut(id) else { return };
-        if worker.synced
+        if worker.listed_all
             && worker.listed_since >= commands_end
             && worker.runs.is_empty()
             && worker.unconfirmed_starts.is_empty()
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -51,6 +51,8 @@
     pub service_cpu: u64,
     /// Whether it has listed its runs to this leader.
     pub synced: bool,
+    /// Whether it has listed all its completions, too; one list has a limited number of them.
+    pub(crate) listed_all: bool,
     /// Last reading of the worker clock and when it was received.
     pub clock: Option<(Millis, Millis)>,
     /// When the newest list of its present incarnation was requested; 0 if there is none.
@@ -149,6 +151,7 @@
             best_effort_cpu: 0,
             service_cpu: 0,
             synced: false,
+            listed_all: false,
             clock: None,
             listed_since: 0,
             list_clock: 0,
@@ -252,6 +255,17 @@
         granted.max(Some(others).filter(|end| *end > 0))
     }
 
+    /// Returns when runs whose completions it may not have listed to this leader have ended or
+    /// have certainly lost their leases: this leader renews them while the worker replies.
+    pub(crate) fn unlisted_until(&self) -> Millis {
+        match (self.listed_all, self.synced) {
+            (true, _) => 0,
+            (false, false) => self.earlier_leases_end,
+            (false, true) if self.renewed_by_relay => Millis::MAX,
+            (false, true) => self.leases_end_at().unwrap_or(0),
+        }
+    }
+
     /// Records a lease expiry that a relay has sent. One that lies beyond the longest lease was
     /// computed on the clock of an earlier incarnation.
     pub(crate) fn record_grant(
--- a/crates/lead/tests/fleet/mod.rs
+++ b/crates/lead/tests/fleet/mod.rs
@@ -381,6 +381,17 @@
         self.lead.on_worker_info(info, time);
     }
 
+    /// Delivers the record of a worker as it is when the fleet opens.
+    pub(crate) fn repeat_record_of(&mut self, id: &str) {
+        let time = self.time();
+        self.lead.on_worker_info(info(id), time);
+    }
+
+    /// Returns whether the leader's log has a record of a worker.
+    pub(crate) fn is_recorded(&self, id: &str) -> bool {
+        self.stored.contains_key(&*format!("w/{id}"))
+    }
+
     /// Removes a worker from the list in the store.
     pub(crate) fn unlist(&mut self, id: &str) {
         let time = self.time();
@@ -551,12 +562,12 @@
     }
 }
 
-/// Returns the record of a worker as it is when the fleet opens.
 /// Returns the stop command of a run.
 fn stop_of(start: &Start) -> Stop {
     Stop { task: start.task.clone(), run: start.run, token: start.token }
 }
 
+/// Returns the record of a worker as it is when the fleet opens.
 pub(crate) fn info(id: &str) -> WorkerInfo {
     worker_info(id[1..].parse().expect("a number"))
 }
