A job's progress is stored in parts, and its occurrences begin as there is room

Cause: all progress of a job was one record, with every occurrence in progress and the list of those that are done; all due occurrences began at once. The record had 341,541 bytes, the store takes 262,144.

Change: progress beyond 4 KB is recorded as a summary and parts of 64 consecutive tasks, written as they change and deleted with their occurrence. Due occurrences begin in their order while fewer than 500 tasks of the job wait. Records of a batch are ordered so that each prefix holds by itself: a batch may take several appends. Records of the earlier form are read and replaced as they grow.

Ruled out: compaction alone (still grows); a record for each step (12 for each occurrence of a chain).

crates/job/tests/jobs.rs: Job::finished is gone, since occurrences that have begun and aren't in progress are done; the test compares the list in the record instead, which is as strict. Job::begin takes the most occurrences to begin.

--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -2,13 +2,15 @@
 //! are stored. Does no I/O and reads no clock.
 
 mod manifest;
+mod parts;
 mod progress;
 mod record;
 mod spec;
 
 pub use crate::{
     manifest::{Manifest, Queue},
+    parts::PartId,
     progress::{Job, Occurrence, State, StepId, StepState, Task, TaskId},
-    record::{Crash, JobRecord, Progress, StepProgress, WorkerRecord},
+    record::{Crash, JobRecord, PartProgress, Progress, StepProgress, Summary, WorkerRecord},
     spec::{Repeat, Spec, SpecError, Step},
 };
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -3,7 +3,7 @@
 use base::{Millis, Name};
 use serde::{Deserialize, Serialize};
 
-use crate::{Crash, JobRecord, Progress, Queue, Spec, Step, StepProgress};
+use crate::{Crash, JobRecord, Progress, Queue, Spec, Step, StepProgress, parts::Parts};
 
 /// Identifies a task of a job; displayed as `JOB.OCCURRENCE.STEP.INDEX`.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -130,16 +130,17 @@
     pub ended_at: Millis,
     /// Whether its outcome is durable, so that callers may see it.
     pub end_stored: bool,
-    /// Occurrences whose tasks are all done, in order of completion.
-    pub finished: Vec<u32>,
     /// Occurrences in progress.
     pub in_progress: BTreeMap<u32, Occurrence>,
-    /// Number of the next occurrence to begin.
+    /// Number of the next occurrence to begin. The tasks of all earlier ones that are not in
+    /// progress are done.
     pub next_occurrence: u32,
+    /// Parts of its progress, `None` while one record holds it.
+    pub(crate) parts: Option<Parts>,
 }
 
 impl Occurrence {
-    fn new(spec: &Spec) -> Occurrence {
+    pub(crate) fn new(spec: &Spec) -> Occurrence {
         let steps = spec.steps.iter().map(|step| StepState {
             tasks: vec![Task::default(); step.count as usize],
             remaining: step.count,
@@ -165,9 +166,9 @@
             failed: false,
             ended_at: 0,
             end_stored: false,
-            finished: Vec::new(),
             in_progress: BTreeMap::new(),
             next_occurrence: 0,
+            parts: None,
         }
     }
 
@@ -185,8 +186,6 @@
         job.next_occurrence =
             job.next_occurrence.max(progress.finished.iter().map(|occ| occ + 1).max().unwrap_or(0));
         job.started = job.next_occurrence > 0;
-        job.finished = progress.finished;
-        job.end_stored = job.is_terminal();
         for (occ, steps) in progress.in_progress {
             let mut state = Occurrence::new(&job.spec);
             for (step, progress) in state.steps.iter_mut().zip(steps) {
@@ -194,6 +193,7 @@
             }
             job.in_progress.insert(occ, state);
         }
+        job.end_stored = job.is_terminal();
         for (occurrence, step, index, crashes) in progress.crashes {
             let task = TaskId { job: job.id.clone(), occurrence, step, index };
             if let Some(task) = job.task_mut(&task) {
@@ -215,7 +215,9 @@
             cancelled: self.cancelled || self.cancel_requested,
             failed: self.failed,
             ended_at: self.ended_at,
-            finished: self.finished.clone(),
+            finished: (0..self.next_occurrence)
+                .filter(|occ| !self.in_progress.contains_key(occ))
+                .collect(),
             in_progress,
             crashes: if self.is_terminal() { Vec::new() } else { self.crashes() },
         }
@@ -267,7 +269,7 @@
 
     /// Returns whether all tasks of all occurrences are done.
     pub fn completed(&self) -> bool {
-        self.finished.len() as u32 >= self.occurrences()
+        self.in_progress.is_empty() && self.next_occurrence >= self.occurrences()
     }
 
     /// Returns the state to show to callers. A final state is shown only once it is
@@ -283,9 +285,10 @@
         if self.started { State::Active } else { State::Queued }
     }
 
-    /// Begins the occurrences that are due at a Unix time and returns their numbers.
-    pub fn begin(&mut self, unix: Millis) -> Vec<u32> {
-        self.begin_while(|job| job.due(job.next_occurrence) <= unix)
+    /// Begins `most` of the occurrences that are due at a Unix time and returns their numbers.
+    pub fn begin(&mut self, unix: Millis, most: u32) -> Vec<u32> {
+        let end = self.next_occurrence.saturating_add(most);
+        self.begin_while(|job| job.next_occurrence < end && job.due(job.next_occurrence) <= unix)
     }
 
     /// Begins the occurrences up to one that an earlier leader has begun, and returns their
@@ -336,6 +339,9 @@
 
     /// Returns a task for changes; `None` unless its occurrence is in progress.
     pub fn task_mut(&mut self, id: &TaskId) -> Option<&mut Task> {
+        if let Some(parts) = &mut self.parts {
+            parts.mark(id);
+        }
         self.in_progress
             .get_mut(&id.occurrence)?
             .steps
@@ -354,16 +360,33 @@
         }
         task.done = true;
         step.remaining -= 1;
-        if occ.steps.iter().all(|s| s.remaining == 0) {
+        let done = occ.steps.iter().all(StepState::is_done);
+        if done {
             self.in_progress.remove(&id.occurrence);
-            self.finished.push(id.occurrence);
+        }
+        match &mut self.parts {
+            Some(parts) if done => parts.remove(id.occurrence),
+            Some(parts) => parts.mark(id),
+            None => {}
         }
         true
     }
 }
 
+impl Task {
+    /// Returns whether its checkpoint is to be stored: the worker of a run reports it itself.
+    pub(crate) fn has_checkpoint_to_store(&self) -> bool {
+        !self.checkpoint.is_empty() && self.workers.is_empty()
+    }
+}
+
 impl StepState {
-    fn restore(&mut self, progress: StepProgress) {
+    /// Returns whether all tasks are done.
+    pub(crate) fn is_done(&self) -> bool {
+        self.remaining == 0
+    }
+
+    pub(crate) fn restore(&mut self, progress: StepProgress) {
         for index in progress.done {
             let Some(task) = self.tasks.get_mut(index as usize) else { continue };
             task.done = true;
@@ -390,8 +413,7 @@
             if !task.failed_runs.is_empty() {
                 progress.failed.push((index, task.failed_runs.clone()));
             }
-            // The worker of a run reports its checkpoint itself.
-            if !task.checkpoint.is_empty() && task.workers.is_empty() {
+            if task.has_checkpoint_to_store() {
                 progress.checkpoints.push((index, task.checkpoint.clone()));
             }
         }
--- a/crates/job/src/record.rs
+++ b/crates/job/src/record.rs
@@ -36,8 +36,45 @@
     pub crashes: Vec<(u32, u32, u32, Vec<Crash>)>,
 }
 
+/// Stored summary of the progress of a job whose tasks are in records of their own, in place of
+/// [`Progress`]. Each write replaces the one before.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// Whether the job was cancelled.
+    pub cancelled: bool,
+    /// Whether the job has failed; it is not retried.
+    pub failed: bool,
+    /// Time at which the job ended, in Unix milliseconds; 0 until then.
+    pub ended_at: Millis,
+    /// Number of occurrences that have begun. The tasks of those that are not in progress are done.
+    pub begun: u32,
+    /// Occurrences in progress, as ranges: the first one and their number.
+    pub open: Vec<(u32, u32)>,
+}
+
+/// Stored progress of some consecutive tasks of one occurrence, by their number within it. Each
+/// write replaces the one before.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct PartProgress {
+    /// Tasks that are done.
+    pub done: Vec<u32>,
+    /// Tasks that are not done, with the numbers of their failed runs.
+    pub failed: Vec<(u32, Vec<u64>)>,
+    /// Tasks without a run, with the checkpoint to resume from.
+    pub checkpoints: Vec<(u32, Name)>,
+    /// Tasks that are not done, with the crashes that they may have caused.
+    pub crashes: Vec<(u32, Vec<Crash>)>,
+}
+
+impl PartProgress {
+    /// Returns whether it says no more than a missing record.
+    pub fn is_empty(&self) -> bool {
+        *self == PartProgress::default()
+    }
+}
+
 /// A crash of a worker that a task may have caused.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Crash {
     /// Address of the worker that crashed, which it keeps where it comes back under another
     /// identifier. Records of earlier versions have the identifier.
--- a/crates/job/tests/jobs.rs
+++ b/crates/job/tests/jobs.rs
@@ -76,7 +76,7 @@
     let crash =
         Crash { machine: "127.0.0.1:7".into(), incarnation: 7, sole: true, confirmed: true };
     let mut job = job(spec(vec![step(2, &[])]));
-    job.begin(0);
+    job.begin(0, u32::MAX);
     job.open_steps(0);
     job.finish(&id(0, 0, 0));
     job.task_mut(&id(0, 0, 1)).unwrap().crashes.push(crash.clone());
@@ -93,7 +93,7 @@
 #[test]
 fn a_step_opens_once_all_before_it_are_done() {
     let mut job = job(spec(vec![step(2, &[]), step(1, &[0])]));
-    assert_eq!(job.begin(0), [0]);
+    assert_eq!(job.begin(0, u32::MAX), [0]);
     assert_eq!(job.open_steps(0), [0]);
     assert!(job.finish(&id(0, 0, 0)));
     assert!(!job.finish(&id(0, 0, 0)), "a completion counts once");
@@ -110,13 +110,13 @@
 fn occurrences_begin_when_they_are_due() {
     let repeat = Some(Repeat { count: 3, start: 1_000, interval: 500 });
     let mut job = job(Spec { repeat, ..spec(vec![step(1, &[])]) });
-    assert!(job.begin(999).is_empty());
-    assert_eq!(job.begin(1_500), [0, 1]);
+    assert!(job.begin(999, u32::MAX).is_empty());
+    assert_eq!(job.begin(1_500, u32::MAX), [0, 1]);
     job.finish(&id(0, 0, 0));
     let mut back = restored(&job);
-    assert_eq!(back.finished, [0]);
-    assert!(back.begin(1_600).is_empty(), "begun occurrences do not begin again");
-    assert_eq!(back.begin(2_000), [2]);
+    assert_eq!(back.progress().finished, [0]);
+    assert!(back.begin(1_600, u32::MAX).is_empty(), "begun occurrences do not begin again");
+    assert_eq!(back.begin(2_000, u32::MAX), [2]);
 }
 
 #[test]
@@ -153,7 +153,7 @@
     /// done and the same failed runs.
     fn progress_survives(done: Vec<u8>, failed: Vec<u8>) -> bool {
         let mut job = job(spec(vec![step(40, &[]), step(40, &[])]));
-        job.begin(0);
+        job.begin(0, u32::MAX);
         for index in failed {
             if let Some(task) = job.task_mut(&id(0, u32::from(index) % 2, u32::from(index) % 40)) {
                 task.failed_runs.push(u64::from(index));
--- a/crates/lead/src/journal.rs
+++ b/crates/lead/src/journal.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeSet;
 
-use base::Name;
-use job::{Job, WorkerRecord};
+use base::{Name, Now, event};
+use job::{Job, PartId, PartProgress, WorkerRecord};
 use port::Record;
 
 use crate::Lead;
@@ -10,10 +10,19 @@
 const JOB: &str = "j/";
 /// Prefix of the keys of progress records.
 const PROGRESS: &str = "p/";
+/// Prefix of the keys of summaries of jobs whose progress is in parts. The records of a job are
+/// deleted in the order of their keys: that of the job is the first, so that it does not start anew.
+const SUMMARY: &str = "s/";
+/// Prefix of the keys of the parts of a job's progress.
+const PART: &str = "t/";
 /// Prefix of the keys of records of workers that may have runs.
 const WORKER: &str = "w/";
 /// Key of the record of the interference model.
 const MODEL: &str = "learned";
+/// Size of a progress record, in bytes, beyond which the progress is recorded in parts.
+const MAX_WHOLE_BYTES: usize = 4_096;
+/// Size of a part, in bytes, beyond which its checkpoints are left out.
+const MAX_PART_BYTES: usize = 128 * 1024;
 /// Key of the record that names the leader of the cell and its epoch.
 pub const OWNER: &str = "owner";
 /// Key of the record of the entry VMs whose word a leader needs where the store does not answer.
@@ -47,7 +56,7 @@
     jobs: BTreeSet<Name>,
     progress: BTreeSet<Name>,
     workers: BTreeSet<Name>,
-    /// Keys to delete. Records that were added later follow in the batch, and count.
+    /// Keys to delete, unless a record was added later.
     deletions: BTreeSet<Name>,
     /// Whether the interference model is to be recorded.
     save_model: bool,
@@ -103,19 +112,65 @@
         self.deletions.insert(format!("{WORKER}{id}").into());
     }
 
-    /// Deletes the records of a job.
-    pub(crate) fn delete_job(&mut self, id: &Name) {
+    /// Deletes the records of a job that has ended, whose parts have been deleted then.
+    pub(crate) fn delete_job(&mut self, job: &Job) {
+        let id = &job.id;
         self.jobs.remove(id);
         self.progress.remove(id);
+        let progress = if job.is_split() { SUMMARY } else { PROGRESS };
         self.deletions.insert(format!("{JOB}{id}").into());
-        self.deletions.insert(format!("{PROGRESS}{id}").into());
+        self.deletions.insert(format!("{progress}{id}").into());
+    }
+
+    /// Deletes a record that belongs to no job.
+    pub(crate) fn delete_record(&mut self, key: &Name) {
+        self.deletions.insert(key.clone());
+    }
+
+    /// Returns the records of a job's progress. The summary is the last one: until it is stored,
+    /// the next leader ignores parts of occurrences that it does not name.
+    fn progress_records(&mut self, job: &mut Job) -> Vec<Record> {
+        if !job.is_split() {
+            let whole = record(PROGRESS, &job.id, &job.progress());
+            if whole.value.len() <= MAX_WHOLE_BYTES {
+                return vec![whole];
+            }
+            event!("progress_split", job = job.id, bytes = whole.value.len());
+            job.split();
+            self.deletions.insert(whole.key);
+        }
+        let mut records = Vec::new();
+        for (part, progress) in job.take_changed_parts() {
+            records.push(part_record(&job.id, part, progress));
+        }
+        records.push(record(SUMMARY, &job.id, &job.summary()));
+        for part in job.take_obsolete_parts() {
+            self.deletions.insert(part_key(&job.id, part));
+        }
+        records
     }
 }
 
+fn part_key(job: &str, part: PartId) -> Name {
+    format!("{PART}{job}/{part}").into()
+}
+
+fn part_record(job: &Name, part: PartId, mut progress: PartProgress) -> Record {
+    let whole = record(PART, &format!("{job}/{part}").into(), &progress);
+    if whole.value.len() <= MAX_PART_BYTES {
+        return whole;
+    }
+    log::warn!("event=checkpoints_dropped job={job} part={part} bytes={}", whole.value.len());
+    progress.checkpoints.clear();
+    record(PART, &format!("{job}/{part}").into(), &progress)
+}
+
 /// Key of a record in the cell's log, with the id that it contains.
 pub(crate) enum RecordKey<'a> {
     Job(&'a str),
     Progress(&'a str),
+    Summary(&'a str),
+    Part(&'a str, PartId),
     Worker(&'a str),
     Model,
     Other,
@@ -129,6 +184,13 @@
     if let Some(id) = key.strip_prefix(PROGRESS) {
         return RecordKey::Progress(id);
     }
+    if let Some(id) = key.strip_prefix(SUMMARY) {
+        return RecordKey::Summary(id);
+    }
+    let part = key.strip_prefix(PART).and_then(|rest| rest.split_once('/'));
+    if let Some((id, part)) = part.and_then(|(id, part)| Some((id, part.parse().ok()?))) {
+        return RecordKey::Part(id, part);
+    }
     if key == MODEL {
         return RecordKey::Model;
     }
@@ -145,22 +207,20 @@
         changed
     }
 
-    /// Takes the next batch to append; `None` if nothing has changed.
+    /// Takes the next batch to append; `None` if nothing has changed. Its records may be stored one
+    /// after the other: what the first ones say holds without the others.
     pub fn take_batch(&mut self) -> Option<Batch> {
         let journal = &mut self.journal;
         let mut batch = Batch { number: journal.next_batch, ..Batch::default() };
-        for key in std::mem::take(&mut journal.deletions) {
-            batch.records.push(Record { key, value: Vec::new() });
-        }
         for id in std::mem::take(&mut journal.jobs) {
             let Some(job) = self.jobs.get(&id) else { continue };
             batch.records.push(record(JOB, &id, &job.record()));
             batch.jobs.push(id);
         }
         for id in std::mem::take(&mut journal.progress) {
-            let Some(job) = self.jobs.get(&id) else { continue };
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
             batch.add_outcome(job);
-            batch.records.push(record(PROGRESS, &id, &job.progress()));
+            batch.records.extend(journal.progress_records(job));
         }
         for id in std::mem::take(&mut journal.workers) {
             let Some(worker) = self.workers.get(&id) else { continue };
@@ -178,6 +238,10 @@
             batch.records.push(record("", &MEMBERS.into(), &members));
             batch.members = Some(members);
         }
+        let kept: BTreeSet<Name> = batch.records.iter().map(|record| record.key.clone()).collect();
+        let deletions = std::mem::take(&mut journal.deletions);
+        let deleted = deletions.difference(&kept).cloned();
+        batch.records.extend(deleted.map(|key| Record { key, value: Vec::new() }));
         if batch.records.is_empty() {
             return None;
         }
@@ -186,7 +250,7 @@
     }
 
     /// Applies the changes of a batch that has become durable.
-    pub fn on_stored(&mut self, batch: &Batch, now: base::Now) {
+    pub fn on_stored(&mut self, batch: &Batch, now: Now) {
         self.journal.stored = batch.number;
         for id in &batch.cancelled {
             self.apply_cancel(id, now);
--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -20,6 +20,10 @@
 
 /// Low bits of a run id, which count the runs of one epoch; the epoch is above them.
 const RUN_COUNTER_BITS: u32 = 28;
+/// Waiting tasks of a job up to which further occurrences begin.
+const MAX_WAITING_TASKS: usize = 500;
+/// Most occurrences of a job in progress.
+const MAX_IN_PROGRESS: usize = 20_000;
 /// Time for which a job can be queried after its end.
 const JOB_RETENTION: Millis = 600_000;
 /// Time between two runs of the steps of a tick that go through every worker.
@@ -290,16 +294,33 @@
         if job.is_terminal() {
             return;
         }
-        let mut occs: BTreeSet<u32> = job.in_progress.keys().copied().collect();
-        occs.extend(job.begin(now.unix));
-        if job.next_occurrence < job.occurrences() {
+        let occs: Vec<u32> = job.in_progress.keys().copied().collect();
+        for occ in occs {
+            self.open_steps(id, occ);
+        }
+        self.begin_due(id, now);
+    }
+
+    /// Begins occurrences that are due, in their order, as long as few tasks of the job wait.
+    /// Returns whether any has begun.
+    fn begin_due(&mut self, id: &Name, now: Now) -> bool {
+        let mut begun = false;
+        loop {
+            let waiting = self.waiting.get(id).map_or(0, Vec::len);
+            let Some(job) = self.jobs.get_mut(id) else { return begun };
+            let room = waiting < MAX_WAITING_TASKS && job.in_progress.len() < MAX_IN_PROGRESS;
+            let next = if room { job.begin(now.unix, 1).pop() } else { None };
+            let Some(occ) = next else { break };
+            begun = true;
+            self.open_steps(id, occ);
+        }
+        let Some(job) = self.jobs.get(id) else { return begun };
+        if !job.is_terminal() && job.next_occurrence < job.occurrences() {
             self.recurring.insert(id.clone());
         } else {
             self.recurring.remove(id);
         }
-        for occ in occs {
-            self.open_steps(id, occ);
-        }
+        begun
     }
 
     /// Begins the occurrence of a task that a worker has listed. An earlier leader may have begun it
@@ -354,9 +375,8 @@
         let due: Vec<Name> = self.recurring.iter().cloned().collect();
         for id in due {
             let next = self.jobs.get(&id).map(|job| job.due(job.next_occurrence));
-            if next.is_some_and(|due| due <= now.unix) {
+            if next.is_some_and(|due| due <= now.unix) && self.begin_due(&id, now) {
                 self.journal.add_progress(&id);
-                self.activate(&id, now);
             }
         }
         if now.mono >= self.model_saved + MODEL_SAVE_PERIOD {
@@ -374,8 +394,9 @@
         let old = |job: &&Job| job.end_stored && job.ended_at + JOB_RETENTION < now.unix;
         let old: Vec<Name> = self.jobs.values().filter(old).map(|job| job.id.clone()).collect();
         for id in old {
-            self.jobs.remove(&id);
-            self.journal.delete_job(&id);
+            if let Some(job) = self.jobs.remove(&id) {
+                self.journal.delete_job(&job);
+            }
         }
     }
 
--- a/crates/lead/src/restore.rs
+++ b/crates/lead/src/restore.rs
@@ -1,7 +1,7 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use base::{Name, Now, event};
-use job::{Job, JobRecord, Progress, WorkerRecord};
+use job::{Job, JobRecord, PartId, PartProgress, Progress, Summary, WorkerRecord};
 use port::{Item, WorkerInfo};
 
 use crate::{
@@ -14,18 +14,35 @@
     pub(crate) fn restore(&mut self, items: &[Item], now: Now) {
         let mut records: BTreeMap<Name, JobRecord> = BTreeMap::new();
         let mut progress: BTreeMap<Name, Progress> = BTreeMap::new();
+        let mut summaries: BTreeMap<Name, Summary> = BTreeMap::new();
+        let mut parts: BTreeMap<Name, Vec<(PartId, PartProgress)>> = BTreeMap::new();
         for item in items.iter().filter(|item| !item.value.is_empty()) {
             match parse_key(&item.key) {
                 RecordKey::Job(id) => decode_into(&mut records, id, item),
                 RecordKey::Progress(id) => decode_into(&mut progress, id, item),
+                RecordKey::Summary(id) => decode_into(&mut summaries, id, item),
+                RecordKey::Part(id, part) => {
+                    if let Some(progress) = decode(item) {
+                        parts.entry(id.into()).or_default().push((part, progress));
+                    }
+                }
                 RecordKey::Worker(id) => self.restore_worker(id, item),
                 RecordKey::Model => self.restore_model(item),
                 RecordKey::Other => {}
             }
         }
+        self.delete_orphans(items);
         for (id, record) in records {
-            let job = Job::restore(id.clone(), record, progress.remove(&id));
+            let parts = parts.remove(&id).unwrap_or_default();
+            let job = match summaries.remove(&id) {
+                Some(summary) => Job::restore_split(id.clone(), record, summary, parts),
+                None => Job::restore(id.clone(), record, progress.remove(&id)),
+            };
+            let unrecorded = job.is_terminal() && !job.end_stored || job.has_obsolete_parts();
             self.jobs.insert(id.clone(), job);
+            if unrecorded {
+                self.journal.add_progress(&id);
+            }
             self.activate(&id, now);
         }
         self.restore_suspects();
@@ -37,6 +54,31 @@
         );
     }
 
+    /// Deletes what a leader left that was replaced while it stored a batch in several appends:
+    /// records without their job, and one form of progress beside the other.
+    fn delete_orphans(&mut self, items: &[Item]) {
+        let (mut jobs, mut summaries) = (BTreeSet::new(), BTreeSet::new());
+        for item in items.iter().filter(|item| !item.value.is_empty()) {
+            match parse_key(&item.key) {
+                RecordKey::Job(id) => jobs.insert(id),
+                RecordKey::Summary(id) => summaries.insert(id),
+                _ => false,
+            };
+        }
+        for item in items.iter().filter(|item| !item.value.is_empty()) {
+            let orphan = match parse_key(&item.key) {
+                RecordKey::Progress(id) => !jobs.contains(id) || summaries.contains(id),
+                RecordKey::Summary(id) => !jobs.contains(id),
+                RecordKey::Part(id, _) => !jobs.contains(id) || !summaries.contains(id),
+                _ => false,
+            };
+            if orphan {
+                event!("record_orphaned", key = item.key);
+                self.journal.delete_record(&item.key);
+            }
+        }
+    }
+
     fn restore_model(&mut self, item: &Item) {
         match postcard::from_bytes(&item.value) {
             Ok(model) => self.model = model,
@@ -78,10 +120,14 @@
     id: &str,
     item: &Item,
 ) {
-    match postcard::from_bytes(&item.value) {
-        Ok(value) => {
-            table.insert(id.into(), value);
-        }
-        Err(e) => log::error!("event=record_skipped key={} reason={e:?}", item.key),
+    if let Some(value) = decode(item) {
+        table.insert(id.into(), value);
     }
 }
+
+/// Decodes a record; `None` for one that cannot be decoded.
+fn decode<T: serde::de::DeserializeOwned>(item: &Item) -> Option<T> {
+    postcard::from_bytes(&item.value)
+        .inspect_err(|e| log::error!("event=record_skipped key={} reason={e:?}", item.key))
+        .ok()
+}
--- a/crates/lead/tests/fleet/mod.rs
+++ b/crates/lead/tests/fleet/mod.rs
@@ -11,8 +11,8 @@
 use job::{Queue, Spec, StepId, TaskId};
 use lead::{Batch, Bounds, Command, Lead, Run, RunState, Submitted};
 use port::{
-    Completion, Item, Outcome, PolicyReply, Poll, PollReply, Refusal, RunStatus, Start, Stop,
-    WorkerError, WorkerInfo,
+    Completion, Item, Outcome, PolicyReply, Poll, PollReply, Record, Refusal, RunStatus, Start,
+    Stop, WorkerError, WorkerInfo,
 };
 use relay::PollTimes;
 
@@ -106,6 +106,22 @@
         self.lead.on_stored(batch, time);
     }
 
+    /// Stores a record that is in none of the leader's batches.
+    pub(crate) fn keep(&mut self, record: &Record) {
+        self.stored.insert(record.key.clone(), record.value.clone());
+    }
+
+    /// Returns the records in the store.
+    pub(crate) fn records(&self) -> BTreeMap<Name, Vec<u8>> {
+        self.stored.clone()
+    }
+
+    /// Returns whether parts of a job's progress are in the store.
+    pub(crate) fn has_parts(&self, job: &str) -> bool {
+        let prefix = format!("t/{job}/");
+        self.stored.keys().any(|key| key.starts_with(&prefix))
+    }
+
     /// Replaces the leader by one that restores its state from the store.
     pub(crate) fn take_over(&mut self) {
         let stored = self.stored.iter();
