A rejected append is split and its culprit left out

Cause: the store's refusals were one error, retried until leadership is lost; 413 never passes.

Change: 400, 413 and what can't be encoded are AppendError::Rejected. Batches are split into appends of max-call-bytes (optional setting, 2,097,152), rejected appends into halves, until a single record is left out. A job whose progress is rejected fails, by a short record in the same batch, so that acks given with the batch stay true.

--- a/crates/conf/src/platform.rs
+++ b/crates/conf/src/platform.rs
@@ -31,6 +31,8 @@
     pub store: SocketAddr,
     /// Address of the policy service; `None` if the platform has none.
     pub advice: Option<SocketAddr>,
+    /// Largest append that the store accepts, in bytes. A larger batch is split.
+    pub max_call_bytes: usize,
     /// CPU capacity of this VM, in thousandths of a core.
     pub cpu_capacity: u32,
     /// Number of workers up to which the leader exchanges messages with them itself, without
@@ -56,11 +58,13 @@
 }
 
 const ENTRY_KEYS: &[&str] = &["vm", "domain", "region", "callers", "health", "peers", "announce"];
-const PLATFORM_KEYS: &[&str] = &["store", "advice"];
+const PLATFORM_KEYS: &[&str] = &["store", "advice", "max-call-bytes"];
 const VM_KEYS: &[&str] = &["share", "cores"];
 const RELAY_KEYS: &[&str] = &["direct-workers"];
 const BOUND_KEYS: &[&str] = &["hold-ms", "remote", "restore-ms", "impact-ms", "grace-s"];
 
+/// Default of [`PlatformSettings::max_call_bytes`].
+const DEFAULT_MAX_CALL_BYTES: usize = 2_097_152;
 /// Default of [`PlatformSettings::direct_workers`].
 const DEFAULT_DIRECT_WORKERS: usize = 500;
 
@@ -111,6 +115,7 @@
         announce: optional_address(reader, "entry", "announce"),
         store: reader.address("platform", "store"),
         advice: optional_address(reader, "platform", "advice"),
+        max_call_bytes: whole_number(reader, "platform", "max-call-bytes", DEFAULT_MAX_CALL_BYTES),
         cpu_capacity: (cores * 1000.0) as u32,
         direct_workers: whole_number(reader, "relays", "direct-workers", DEFAULT_DIRECT_WORKERS),
         limits: Limits {
--- a/crates/lead/src/journal.rs
+++ b/crates/lead/src/journal.rs
@@ -249,6 +249,42 @@
         Some(batch)
     }
 
+    /// Handles a record of a batch that the store refuses for good, and that will not be stored.
+    /// Returns the record to store in its place, `None` if there is none: a job whose progress
+    /// cannot be stored has failed.
+    pub fn on_record_rejected(&mut self, rejected: &Record, why: &str, now: Now) -> Option<Record> {
+        let (key, bytes) = (&rejected.key, rejected.value.len());
+        log::error!("event=record_rejected key={key:?} bytes={bytes} reason={why:?}");
+        metrics::counter!("records_rejected").increment(1);
+        match parse_key(key) {
+            RecordKey::Job(id) => {
+                self.jobs.remove(id);
+                None
+            }
+            RecordKey::Progress(id) | RecordKey::Summary(id) | RecordKey::Part(id, _) => {
+                let id = Name::from(id);
+                let job = self.jobs.get_mut(&id).filter(|job| !job.is_terminal())?;
+                job.failed = true;
+                event!("job_failed", job = id, why = "record_rejected");
+                self.end_job(&id, now);
+                let job = self.jobs.get_mut(&id)?;
+                if job.split() {
+                    self.journal.delete_record(&format!("{PROGRESS}{id}").into());
+                }
+                // Deletes the parts, and lets callers see the end.
+                self.journal.add_progress(&id);
+                Some(record(SUMMARY, &id, &job.summary()))
+            }
+            RecordKey::Worker(id) => {
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.record_batch = None;
+                }
+                None
+            }
+            RecordKey::Model | RecordKey::Other => None,
+        }
+    }
+
     /// Applies the changes of a batch that has become durable.
     pub fn on_stored(&mut self, batch: &Batch, now: Now) {
         self.journal.stored = batch.number;
--- a/crates/lead/tests/records.rs
+++ b/crates/lead/tests/records.rs
@@ -3,7 +3,7 @@
 #[allow(dead_code)]
 mod fleet;
 
-use base::{Millis, Size};
+use base::{Millis, Name, Size};
 use fleet::{Fleet, NOW, Sent};
 use job::{JobRecord, Progress, Repeat, Spec, State, Step};
 use lead::{Bounds, Lead};
@@ -227,3 +227,36 @@
     assert!(fleet.lead.jobs["a"].is_split());
     assert!(!fleet.records().contains_key("p/a"), "the earlier record is deleted");
 }
+
+/// Guards against a log that takes nothing more: a record that the store refuses hits its job only,
+/// which is shown as failed, and the next leader shows it so, too.
+#[test]
+fn a_job_whose_progress_is_rejected_has_failed() {
+    let mut fleet = Fleet::open(2);
+    fleet.accept("a", Spec { text: "t".into(), steps: vec![step(3_000, 1)], repeat: None });
+    fleet.accept("b", Spec { text: "t".into(), steps: vec![step(1, 1)], repeat: None });
+    play(&mut fleet, 2);
+    assert_eq!(fleet.lead.state("a"), Some(State::Completed));
+    let rejected = Record { key: "t/a/0/3".into(), value: vec![0; MAX_RECORD_BYTES] };
+    let time = fleet.time();
+    let substitute = fleet.lead.on_record_rejected(&rejected, "status 413", time);
+    // All of it was done, so that there is no substitute.
+    assert_eq!(substitute, None);
+    fleet.accept("c", Spec { text: "t".into(), steps: vec![step(3_000, 1)], repeat: None });
+    let starts = fleet.starts();
+    starts.iter().for_each(|sent| fleet.reply_start(sent, Ok(1)));
+    let time = fleet.time();
+    let rejected = Record { key: "t/c/0/3".into(), ..rejected };
+    let substitute = fleet.lead.on_record_rejected(&rejected, "status 413", time);
+    let substitute = substitute.expect("a record of the failure");
+    assert!(substitute.encoded_len() < 64);
+    assert!(!fleet.stops().is_empty(), "its runs are stopped");
+    fleet.keep(&substitute);
+    fleet.store();
+    assert_eq!(fleet.lead.state("c"), Some(State::Failed));
+    assert_eq!(fleet.lead.state("b"), Some(State::Completed));
+    fleet.take_over();
+    assert_eq!(fleet.lead.state("c"), Some(State::Failed));
+    let names: Vec<Name> = fleet.lead.jobs.keys().cloned().collect();
+    assert_eq!(names, ["a", "b", "c"].map(Name::from));
+}
--- a/crates/node/tests/alone/acks.rs
+++ b/crates/node/tests/alone/acks.rs
@@ -93,3 +93,85 @@
         assert_eq!(vm.answer(submission(), JOB).await, Reply::Accepted);
     });
 }
+
+/// Guards against a log that takes nothing more: the leader took the rejection of a batch for an
+/// outage, and sent the batch again for good.
+#[test]
+fn rejected_appends_hold_up_no_other_job() {
+    const MAX_RECORD_BYTES: usize = 64 << 10;
+    const MAX_CALL_BYTES: usize = 128 << 10;
+    struct Case {
+        name: &'static str,
+        settings: &'static str,
+        /// Sizes of the jobs.
+        sizes: &'static [usize],
+        /// Number of jobs that the store never takes.
+        refused: usize,
+        /// Whether the store rejects any append.
+        rejects: bool,
+    }
+    let cases = [
+        Case {
+            name: "a batch beyond the limit",
+            settings: "max-call-bytes = 131072",
+            sizes: &[30 << 10; 12],
+            refused: 0,
+            rejects: false,
+        },
+        Case {
+            name: "a batch beyond a limit that the settings do not name",
+            settings: "",
+            sizes: &[30 << 10; 12],
+            refused: 0,
+            rejects: true,
+        },
+        Case {
+            name: "a record beyond the limit",
+            settings: "",
+            sizes: &[1 << 10, 100 << 10, 1 << 10],
+            refused: 1,
+            rejects: true,
+        },
+    ];
+    for case in cases {
+        task::block_on(async {
+            let vm = Rc::new(Vm::spawn(case.settings).await);
+            vm.logs.held.set(true);
+            let callers: Vec<_> = (0..case.sizes.len())
+                .map(|n| {
+                    let (vm, mut job) = (Rc::clone(&vm), submission());
+                    if let Verb::Submit(Ok(spec)) = &mut job {
+                        spec.steps[0].image = "x".repeat(case.sizes[n]).into();
+                    }
+                    spawn_local(async move { vm.answer(job, &format!("{n:016x}")).await })
+                })
+                .collect();
+            let store = Rc::clone(&vm);
+            let rejections = Rc::new(std::cell::Cell::new(0));
+            let count = Rc::clone(&rejections);
+            let _serving = spawn_local(async move {
+                while let Ok((request, answer)) = store.appends.recv().await {
+                    let sizes: Vec<usize> =
+                        request.records.iter().map(|record| record.encoded_len()).collect();
+                    let fits = sizes.iter().all(|bytes| *bytes <= MAX_RECORD_BYTES)
+                        && sizes.iter().sum::<usize>() <= MAX_CALL_BYTES;
+                    count.set(count.get() + usize::from(!fits));
+                    let rejected = AppendError::Rejected("status 413".into());
+                    let end = if fits { Ok(store.logs.append(&request)) } else { Err(rejected) };
+                    let _ = answer.send(end);
+                }
+            });
+            let mut refused = 0;
+            for caller in callers {
+                match caller.await {
+                    Reply::Accepted => {}
+                    Reply::NotDone(_) => refused += 1,
+                    other => panic!("{}: {other:?}", case.name),
+                }
+            }
+            assert_eq!(refused, case.refused, "{}", case.name);
+            assert_eq!(rejections.get() > 0, case.rejects, "{}", case.name);
+            assert_eq!(vm.answer(Verb::Cancel, &format!("{:016x}", 0)).await, Reply::Cancelled);
+        });
+    }
+}
--- a/crates/port/src/store.rs
+++ b/crates/port/src/store.rs
@@ -5,6 +5,9 @@
 
 use crate::Call;
 
+/// Length of what precedes the key of a record in an append: the lengths of record and key.
+const RECORD_HEADER_BYTES: usize = 5;
+
 /// A log of the platform's store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Topic {
@@ -57,6 +60,13 @@
     pub value: Vec<u8>,
 }
 
+impl Record {
+    /// Returns the size of the record in an append, in bytes.
+    pub fn encoded_len(&self) -> usize {
+        RECORD_HEADER_BYTES + self.key.len() + self.value.len()
+    }
+}
+
 /// Request to append records, all or none.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Append {
@@ -97,6 +107,8 @@
     OffsetMismatch,
     /// Nothing was written, for the given reason.
     Refused(String),
+    /// Nothing was written, and these records never will be, for the given reason.
+    Rejected(String),
     /// The records may have been written or may be later, for the given reason.
     InDoubt(String),
 }
@@ -110,6 +122,7 @@
                 f.write_str("the log does not end at the required offset")
             }
             AppendError::Refused(reason) => write!(f, "refused: {reason}"),
+            AppendError::Rejected(reason) => write!(f, "rejected: {reason}"),
             AppendError::InDoubt(reason) => write!(f, "in doubt: {reason}"),
         }
     }
