A step without a place stands only for those that ask for the same

Cause: a placement pass tried no more steps of a kind once 60 had found no place, whatever those had asked for, and began with the same ones each time. The same within a job (no other occurrence of a step was tried, though tickets and limits for each worker belong to one) and for suspects of crashes (workers were isolated for the 64 that had waited longest, also where none could run them).

Change: a failed search stands for steps of its kind, service and label that need as much, and for nothing where tickets, limits or gangs decide; these don't count for the 60. What exceeds the largest free capacity is not searched. Beyond the 60, each waiting job has its turn within 32 passes; within a job, occurrences that were not tried come first in the next pass. Suspects that no usable worker could run don't count.

--- a/crates/base/src/size.rs
+++ b/crates/base/src/size.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Amounts of the three resources of a backend server.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Size {
     /// CPU in thousandths of a core.
@@ -37,6 +37,15 @@
         }
     }
 
+    /// Returns the larger amount of each resource.
+    pub fn max(self, other: Size) -> Size {
+        Size {
+            cpu: self.cpu.max(other.cpu),
+            memory: self.memory.max(other.memory),
+            accel: self.accel.max(other.accel),
+        }
+    }
+
     /// Returns whether each resource is within `free`.
     pub fn fits(self, free: Size) -> bool {
         self.cpu <= free.cpu && self.memory <= free.memory && self.accel <= free.accel
--- a/crates/job/src/spec.rs
+++ b/crates/job/src/spec.rs
@@ -119,6 +119,12 @@
 }
 
 impl Step {
+    /// Returns whether the workers that may run a task depend on its step and occurrence, whatever
+    /// else the step asks for: it has a limit for each worker, or its queue `needs_ticket`.
+    pub fn has_own_workers(&self, needs_ticket: bool) -> bool {
+        self.per_worker > 0 || needs_ticket
+    }
+
     fn check(&self, at: usize) -> Result<(), &'static str> {
         if self.count == 0 {
             return Err("a step needs a task");
--- a/crates/lead/src/isolation.rs
+++ b/crates/lead/src/isolation.rs
@@ -216,6 +216,7 @@
             task.queued || (copied && task.crashes.is_empty() && task.workers.len() == 1)
         };
         let mut waiting: Vec<TaskId> = self.suspects.iter().filter(waits).cloned().collect();
+        self.retain_runnable(&mut waiting, now);
         waiting.sort_by_cached_key(|id| {
             let accepted_at = self.jobs.get(&id.job).map_or(0, |job| job.accepted_at);
             (std::cmp::Reverse(self.waited(&id.step_id(), now)), accepted_at)
@@ -225,6 +226,26 @@
         waiting
     }
 
+    /// Removes the tasks that no worker could run if it were idle.
+    fn retain_runnable(&self, tasks: &mut Vec<TaskId>, now: Now) {
+        let stored = self.durable_batch();
+        let mut runnable: BTreeMap<(Name, Option<Name>, Size), bool> = BTreeMap::new();
+        tasks.retain(|id| {
+            let Some(req) = self.requirements(id) else { return false };
+            let size = req.allocation();
+            let service = self.jobs.get(&id.job).map(|job| job.queue.service.clone());
+            let class = (service.unwrap_or_default(), req.step.requires.clone(), size);
+            let mut workers = self.workers.values();
+            *runnable.entry(class).or_insert_with(|| {
+                workers.any(|worker| {
+                    worker.usable(stored, now.mono)
+                        && req.matches(worker)
+                        && size.fits(worker.info.size)
+                })
+            })
+        });
+    }
+
     /// Returns the workers on which suspects are on probation.
     fn probation_places(&self) -> BTreeMap<Name, Place> {
         let mut places = BTreeMap::new();
--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -121,6 +121,8 @@
     pub(crate) stragglers_checked: Millis,
     /// Worker chosen by the last search, where the next one begins.
     pub(crate) search_cursor: Name,
+    /// Last job in the name order whose turn it was in a placement pass.
+    pub(crate) turn_cursor: Name,
     /// When the load was last logged.
     pub(crate) load_reported: Millis,
     /// Number of workers compared with tasks so far.
@@ -194,6 +196,7 @@
             typical_runtime: BTreeMap::new(),
             stragglers_checked: now.mono,
             search_cursor: "".into(),
+            turn_cursor: "".into(),
             load_reported: 0,
             evaluated: Cell::new(0),
             pass: 0,
--- a/crates/lead/src/load.rs
+++ b/crates/lead/src/load.rs
@@ -7,7 +7,7 @@
 const REPORT_INTERVAL: Millis = 1_000;
 
 /// Kinds of tasks, which are placed by different rules.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum TaskKind {
     /// Has a latency target.
     Service,
--- a/crates/lead/src/place.rs
+++ b/crates/lead/src/place.rs
@@ -1,10 +1,15 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use base::{Name, Now, event};
 use job::TaskId;
 use port::Start;
 
-use crate::{Command, Lead, Run, load::TaskKind, pass::Pass, search::SearchCache};
+use crate::{
+    Command, Lead, Run,
+    load::TaskKind,
+    pass::{MAX_UNPLACED_STEPS, Pass},
+    search::SearchCache,
+};
 
 /// Limit of starts in one placement pass.
 const MAX_STARTS: usize = 200;
@@ -14,7 +19,7 @@
     pub(crate) fn place_tasks(&mut self, now: Now) {
         let settled = self.settled(now);
         self.begin_pass();
-        let mut pass = Pass::default();
+        let mut pass = self.open_pass();
         for id in self.scheduling_order(now) {
             if pass.starts >= MAX_STARTS {
                 return;
@@ -50,23 +55,23 @@
         !steps.is_empty()
             && steps
                 .iter()
-                .all(|step| pass.can_skip(&job.queue.service, &job.spec.steps[*step as usize]))
+                .all(|step| pass.can_skip(id, &job.queue.service, &job.spec.steps[*step as usize]))
     }
 
     /// Starts tasks of one job and returns those that were not placed.
     fn place_job(&mut self, tasks: Vec<TaskId>, pass: &mut Pass, now: Now) -> Vec<TaskId> {
-        let mut left = Vec::new();
-        let mut full_step: Option<u32> = None;
+        let (mut left, mut untried) = (Vec::new(), Vec::new());
+        // Tasks with the same requirements: if one cannot be placed, neither can the others.
+        let mut full: BTreeSet<(u32, u32)> = BTreeSet::new();
         let mut cache: Option<SearchCache> = None;
         let mut gangs: BTreeMap<(u32, u32), Vec<TaskId>> = BTreeMap::new();
         for id in tasks {
-            let queued =
-                self.jobs.get(&id.job).and_then(|job| job.task(&id)).is_some_and(|t| t.queued);
-            if !queued {
+            let Some(job) = self.jobs.get(&id.job) else { continue };
+            if job.task(&id).is_none_or(|task| !task.queued) {
                 continue;
             }
-            let gang = self.jobs.get(&id.job).and_then(|job| job.step(&id)).is_some_and(|s| s.gang);
-            if gang {
+            let Some(step) = job.step(&id) else { continue };
+            if step.gang {
                 gangs.entry((id.occurrence, id.step)).or_default().push(id);
                 continue;
             }
@@ -80,13 +85,17 @@
                 }
                 continue;
             }
-            // Tasks of one step have the same requirements: if one cannot be placed, neither
-            // can the others.
-            if full_step == Some(id.step) {
+            let alike = self.alike(&id);
+            if full.contains(&alike) {
                 left.push(id);
                 continue;
             }
-            let place = self.find_worker(&id, &mut cache, now);
+            if full.len() >= MAX_UNPLACED_STEPS {
+                untried.push(id);
+                continue;
+            }
+            let fits = self.may_fit(pass, &job.queue.service, step, now);
+            let place = if fits { self.find_worker(&id, &mut cache, now) } else { None };
             match place {
                 Some(worker) => {
                     self.start_task(&id, &worker, now);
@@ -94,20 +103,44 @@
                 }
                 None => {
                     self.handle_unplaced(&id, pass, now);
-                    full_step = Some(id.step);
+                    full.insert(alike);
                     left.push(id);
                 }
             }
         }
         for members in gangs.into_values() {
-            if self.place_gang(&members, now) {
+            let alike = self.alike(&members[0]);
+            if full.contains(&alike) {
+                left.extend(members);
+            } else if full.len() >= MAX_UNPLACED_STEPS {
+                untried.extend(members);
+            } else if self.may_place_gang(&members, pass, now) && self.place_gang(&members, now) {
                 pass.starts += members.len();
             } else {
                 self.handle_unplaced(&members[0], pass, now);
+                full.insert(alike);
                 left.extend(members);
             }
         }
-        left
+        // Those that have not been tried come first in the next pass.
+        untried.extend(left);
+        untried
+    }
+
+    fn may_place_gang(&self, members: &[TaskId], pass: &mut Pass, now: Now) -> bool {
+        let Some(job) = self.jobs.get(&members[0].job) else { return false };
+        let Some(step) = job.step(&members[0]) else { return false };
+        self.may_fit(pass, &job.queue.service, step, now)
+    }
+
+    /// Returns what the waiting tasks of a job have in common that the same workers can run:
+    /// occurrence and step, or the step alone.
+    fn alike(&self, id: &TaskId) -> (u32, u32) {
+        let job = self.jobs.get(&id.job);
+        let needs_ticket = job.is_some_and(|job| job.queue.needs_ticket);
+        let step = job.and_then(|job| job.step(id));
+        let own = step.is_some_and(|step| step.has_own_workers(needs_ticket));
+        (if own { id.occurrence } else { 0 }, id.step)
     }
 
     /// Records that a task could not be placed and requests a ticket if its queue needs one.
