The model of interference is stored by service image

Cause: one record for all images, with a covariance matrix for each service image that grows with the square of the best-effort images; callers name images.

Change: a record for each service image, written when its model has changed, with 96 best-effort images at most: the one about which least is known is forgotten. The record of earlier versions is read and replaced.

Evidence: the_model_of_many_images_is_stored_and_restored (lead): 200 images, records within half of the store's limit.

--- a/crates/lead/src/interference.rs
+++ b/crates/lead/src/interference.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use base::{Millis, Name};
 use serde::{Deserialize, Serialize};
@@ -18,6 +18,9 @@
 const VARIANCE_GROWTH: f64 = 0.0005;
 /// Limit on the prediction error that one measurement counts with.
 const MAX_ERROR: f64 = 1.5;
+/// Most best-effort images in the model of a service image, so that its record stays within the limit
+/// of the store.
+const MAX_COLUMNS: usize = 96;
 /// Number of standard deviations subtracted from an estimate, so that pairs with little data
 /// are tried.
 const EXPLORATION_FACTOR: f64 = 0.3;
@@ -31,6 +34,9 @@
     /// Models by service image.
     #[serde(rename = "served")]
     services: BTreeMap<Name, ServiceModel>,
+    /// Service images whose models have changed since they were last recorded.
+    #[serde(skip)]
+    changed: BTreeSet<Name>,
 }
 
 /// Returns the headroom of a task below its latency target, as the target divided by its tail
@@ -43,7 +49,7 @@
 
 /// Linear model of one service image's headroom, fitted by recursive least squares.
 #[derive(Debug, Default, Serialize, Deserialize)]
-struct ServiceModel {
+pub(crate) struct ServiceModel {
     /// Best-effort images by column. The first column stands for the headroom without them
     /// and has an empty name.
     columns: Vec<Name>,
@@ -62,6 +68,23 @@
             .entry(service.clone())
             .or_insert_with(|| ServiceModel::with_base(headroom));
         model.update(headroom, exposure);
+        self.changed.insert(service.clone());
+    }
+
+    /// Takes the service images whose models have changed, with their models.
+    pub(crate) fn take_changed(&mut self) -> Vec<(Name, &ServiceModel)> {
+        let changed = std::mem::take(&mut self.changed);
+        changed.into_iter().filter_map(|id| self.services.get(&id).map(|m| (id, m))).collect()
+    }
+
+    /// Adds the recorded model of a service image.
+    pub(crate) fn restore(&mut self, service: &Name, model: ServiceModel) {
+        self.services.insert(service.clone(), model);
+    }
+
+    /// Has all models recorded anew.
+    pub(crate) fn touch(&mut self) {
+        self.changed = self.services.keys().cloned().collect();
     }
 
     /// Returns the headroom that a service image is expected to lose if a best-effort image
@@ -112,7 +135,24 @@
         (-weight - EXPLORATION_FACTOR * variance.max(0.0).sqrt()).max(0.0)
     }
 
+    /// Forgets the image about which least is known, if the model is full.
+    fn make_room(&mut self) {
+        if self.columns.len() <= MAX_COLUMNS {
+            return;
+        }
+        let variance = |at: &usize| self.covariance[*at][*at];
+        let least = (1..self.columns.len()).max_by(|a, b| variance(a).total_cmp(&variance(b)));
+        let Some(at) = least else { return };
+        self.columns.remove(at);
+        self.weights.remove(at);
+        self.covariance.remove(at);
+        for row in &mut self.covariance {
+            row.remove(at);
+        }
+    }
+
     fn add_column(&mut self, image: &Name) {
+        self.make_room();
         self.columns.push(image.clone());
         self.weights.push(-PRIOR_INTERFERENCE);
         for row in &mut self.covariance {
--- a/crates/lead/src/journal.rs
+++ b/crates/lead/src/journal.rs
@@ -17,8 +17,12 @@
 const PART: &str = "t/";
 /// Prefix of the keys of records of workers that may have runs.
 const WORKER: &str = "w/";
-/// Key of the record of the interference model.
-const MODEL: &str = "learned";
+/// Prefix of the keys of records of the interference model, one for each service image.
+const SERVICE_MODEL: &str = "learned/";
+/// Key of the record of the whole interference model in earlier versions.
+pub(crate) const MODEL: &str = "learned";
+/// Longest key of a record, in bytes.
+const MAX_KEY_BYTES: usize = 255;
 /// Size of a progress record, in bytes, beyond which the progress is recorded in parts.
 const MAX_WHOLE_BYTES: usize = 4_096;
 /// Size of a part, in bytes, beyond which its checkpoints are left out.
@@ -58,7 +62,7 @@
     workers: BTreeSet<Name>,
     /// Keys to delete, unless a record was added later.
     deletions: BTreeSet<Name>,
-    /// Whether the interference model is to be recorded.
+    /// Whether what has changed of the interference model is to be recorded.
     save_model: bool,
     /// Members of the cell to record.
     members: Option<BTreeSet<Name>>,
@@ -172,6 +176,7 @@
     Summary(&'a str),
     Part(&'a str, PartId),
     Worker(&'a str),
+    ServiceModel(&'a str),
     Model,
     Other,
 }
@@ -191,6 +196,9 @@
     if let Some((id, part)) = part.and_then(|(id, part)| Some((id, part.parse().ok()?))) {
         return RecordKey::Part(id, part);
     }
+    if let Some(image) = key.strip_prefix(SERVICE_MODEL) {
+        return RecordKey::ServiceModel(image);
+    }
     if key == MODEL {
         return RecordKey::Model;
     }
@@ -232,7 +240,9 @@
             batch.records.push(record(WORKER, &id, &worker_record));
         }
         if std::mem::take(&mut journal.save_model) {
-            batch.records.push(record("", &MODEL.into(), &self.model));
+            let models = self.model.take_changed().into_iter();
+            let records = models.map(|(image, model)| record(SERVICE_MODEL, &image, model));
+            batch.records.extend(records.filter(|record| record.key.len() <= MAX_KEY_BYTES));
         }
         if let Some(members) = journal.members.take() {
             batch.records.push(record("", &MEMBERS.into(), &members));
@@ -281,7 +291,7 @@
                 }
                 None
             }
-            RecordKey::Model | RecordKey::Other => None,
+            RecordKey::ServiceModel(_) | RecordKey::Model | RecordKey::Other => None,
         }
     }
 
--- a/crates/lead/src/restore.rs
+++ b/crates/lead/src/restore.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     Lead, Worker,
+    interference::ServiceModel,
     journal::{RecordKey, parse_key},
 };
 
@@ -16,6 +17,7 @@
         let mut progress: BTreeMap<Name, Progress> = BTreeMap::new();
         let mut summaries: BTreeMap<Name, Summary> = BTreeMap::new();
         let mut parts: BTreeMap<Name, Vec<(PartId, PartProgress)>> = BTreeMap::new();
+        let mut models: BTreeMap<Name, ServiceModel> = BTreeMap::new();
         for item in items.iter().filter(|item| !item.value.is_empty()) {
             match parse_key(&item.key) {
                 RecordKey::Job(id) => decode_into(&mut records, id, item),
@@ -27,10 +29,14 @@
                     }
                 }
                 RecordKey::Worker(id) => self.restore_worker(id, item),
+                RecordKey::ServiceModel(image) => decode_into(&mut models, image, item),
                 RecordKey::Model => self.restore_model(item),
                 RecordKey::Other => {}
             }
         }
+        for (image, model) in models {
+            self.model.restore(&image, model);
+        }
         self.delete_orphans(items);
         for (id, record) in records {
             let parts = parts.remove(&id).unwrap_or_default();
@@ -79,10 +85,13 @@
         }
     }
 
+    /// Restores the model from the record of an earlier version, which is replaced.
     fn restore_model(&mut self, item: &Item) {
-        match postcard::from_bytes(&item.value) {
-            Ok(model) => self.model = model,
-            Err(e) => log::warn!("event=record_skipped key={} reason={e:?}", item.key),
+        if let Some(model) = decode(item) {
+            self.model = model;
+            self.model.touch();
+            self.journal.add_model();
+            self.journal.delete_record(&item.key);
         }
     }
 
--- a/crates/lead/tests/records.rs
+++ b/crates/lead/tests/records.rs
@@ -260,3 +260,43 @@
     let names: Vec<Name> = fleet.lead.jobs.keys().cloned().collect();
     assert_eq!(names, ["a", "b", "c"].map(Name::from));
 }
+
+/// Guards against a model of interference that is no longer stored: it was one record, which grew with
+/// the images that callers name.
+#[test]
+fn the_model_of_many_images_is_stored_and_restored() {
+    let mut fleet = Fleet::open(1);
+    for n in 0..3 {
+        let service = Step { long_running: true, latency_target: 50, ..step(1, 500) };
+        let step = Step { image: format!("web{n}").into(), ..service };
+        fleet.accept(&format!("s{n}"), Spec { text: "t".into(), steps: vec![step], repeat: None });
+    }
+    fleet.start_all();
+    let mut largest = 0;
+    for n in 0..200 {
+        let step = Step { best_effort: true, image: format!("{n:0>40}").into(), ..step(1, 100) };
+        fleet.submit(&format!("b{n}"), Spec { text: "t".into(), steps: vec![step], repeat: None });
+        for _ in 0..2 {
+            while let Some(batch) = fleet.lead.take_batch() {
+                let sizes = batch.records.iter().map(Record::encoded_len);
+                largest = largest.max(sizes.max().unwrap_or(0));
+                fleet.append(&batch);
+            }
+            fleet.start_all();
+            fleet.advance(1_000);
+            fleet.report_latency(&|beside| if beside.len() > 3 { 30 } else { 15 });
+        }
+        fleet.finish_jobs();
+    }
+    assert!(largest <= MAX_RECORD_BYTES / 2, "a record of {largest} bytes");
+    fleet.advance(10_000);
+    fleet.start_all();
+    fleet.store();
+    let image = Name::from(format!("{:0>40}", 199));
+    let learned = |fleet: &Fleet| fleet.lead.learned_interference(&"web1".into(), &image);
+    let before = learned(&fleet);
+    fleet.take_over();
+    assert_eq!(learned(&fleet), before);
+    let unknown = fleet.lead.learned_interference(&"web1".into(), &"unknown".into());
+    assert_ne!(before, unknown, "something was learned");
+}
