A record of a service that nobody names is no restart of a worker

Cause: on_worker_info takes any higher start for a restart; PROTOCOL.md: an entry with a service that isn't named "names no worker to use".

Change: a record of a known worker with a service that no worker and no job belongs to is unreadable: no new work until its next own record, runs and leases go on.

Evidence: a_record_of_a_service_that_nobody_names_is_no_restart (lead) failed before: the task started elsewhere.

Left: an entry with a service that is named and a later start.

--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -40,7 +40,9 @@
             let info = decode(&item.key, &item.value);
             // A start in the far future is another writer's.
             let latest = now.unix.saturating_add(MAX_CLOCK_DIFFERENCE);
-            let Some(info) = info.filter(|info| info.incarnation <= latest) else {
+            let plausible =
+                |info: &WorkerInfo| info.incarnation <= latest && !self.is_foreign(info);
+            let Some(info) = info.filter(plausible) else {
                 log::warn!("event=record_skipped key={:?} reason=unreadable", item.key);
                 self.on_unreadable(&item.key, now);
                 continue;
@@ -54,6 +56,18 @@
         }
     }
 
+    /// Whether a record names a known worker, but a service that neither that worker nor any other nor
+    /// any job belongs to: it is another writer's. A worker that has moved to such a service shows its
+    /// restart by its next list.
+    fn is_foreign(&self, info: &WorkerInfo) -> bool {
+        let Some(known) = self.workers.get(&info.id) else { return false };
+        // A worker on record has no service before its own record in the store is read.
+        known.info.service != info.service
+            && !known.info.service.is_empty()
+            && self.workers.values().all(|worker| worker.info.service != info.service)
+            && self.jobs.values().all(|job| job.queue.service != info.service)
+    }
+
     /// Handles the record of a worker in the store. Returns whether the worker was unknown.
     pub fn on_worker_info(&mut self, info: WorkerInfo, now: Now) -> bool {
         let id = info.id.clone();
--- a/crates/lead/tests/restart.rs
+++ b/crates/lead/tests/restart.rs
@@ -597,3 +597,31 @@
         assert!((100..1_000).contains(&late), "{}: {late} ms after the expiry", case.name);
     }
 }
+
+/// Guards against a second run beside the first one: another writer's entry under a worker's identifier
+/// was taken for the worker's restart.
+#[test]
+fn a_record_of_a_service_that_nobody_names_is_no_restart() {
+    struct Case {
+        name: &'static str,
+        service: &'static str,
+        /// Whether the entry is taken for the worker's.
+        restarts: bool,
+    }
+    let cases = [
+        Case { name: "of the same service", service: "s", restarts: true },
+        Case { name: "of no service", service: "testbed", restarts: false },
+    ];
+    for Case { name, service, restarts } in cases {
+        let (mut fleet, sent) = fleet_with_run();
+        fleet.advance(400);
+        fleet.list_at(&sent.0, &sent.1, 10);
+        let incarnation = fleet.time().unix;
+        let entry = WorkerInfo { service: service.into(), incarnation, ..info(&sent.0) };
+        fleet.record(&sent.0, Some(entry));
+        assert_eq!(fleet.starts().is_empty(), !restarts, "{name}");
+        if !restarts {
+            assert!(fleet.poll(&sent.0).deadline.is_some(), "{name}: its runs keep their leases");
+        }
+    }
+}
