A cancelled job is denied only by evidence newer than its cancellation

A leader that is cut off from the other VMs had been succeeded; its successor had accepted the job.

Cause: a leader that may decide denied jobs from memory, by evidence of up to 2 s ago.

Change: 410 for an unknown job waits for an answer of the store to a request sent after the cancellation, without a claim in it. A deposed leader passes the cancellation on; without an answer within 1 s it is refused with 503.

Ruled out: waiting for GET as well (the rule counts machines in touch only, and each GET of an unknown job would take 0.3 s).

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -25,6 +25,8 @@
 const MAX_APPEND_AGE: Millis = 350;
 /// Delay before the next attempt to reach the leader.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
+/// Interval at which newer evidence of leadership is polled.
+const EVIDENCE_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Seconds after which a caller should retry a refused request.
 const RETRY_AFTER: u32 = 1;
 /// Upper bound, in seconds, of the retry delay given to callers while the store is
@@ -207,6 +209,9 @@
                 }
             }
             let submitted = node.shared.borrow_mut().lead.as_mut()?.cancel(id, now());
+            if submitted == Submitted::NoJob {
+                return confirm_absence(node, id).await;
+            }
             await_durable(node, submitted, id, Reply::Cancelled).await
         }
         Work::Show(id) => {
@@ -219,6 +224,25 @@
     }
 }
 
+/// Answers that a job to be cancelled does not exist, once the store shows that no other VM had
+/// taken over when the request came: a successor may have accepted the job. `None` if one has.
+async fn confirm_absence(node: &Rc<Node>, id: &Name) -> WorkReply {
+    let since = now().mono;
+    while now().mono < since + STORE_TIMEOUT.as_millis() as Millis {
+        {
+            let shared = node.shared.borrow();
+            if shared.lead.as_ref()?.jobs.contains_key(id) {
+                break;
+            }
+            if shared.election.unclaimed_at() > since {
+                return Some(Reply::NoJob);
+            }
+        }
+        sleep(EVIDENCE_POLL_INTERVAL).await;
+    }
+    Some(Reply::NotDone(RETRY_AFTER))
+}
+
 /// Waits until a change is durable and returns `done`. If it times out, a new job is
 /// withdrawn where possible, and the change is in doubt otherwise.
 async fn await_durable(node: &Rc<Node>, submitted: Submitted, id: &Name, done: Reply) -> WorkReply {
--- a/crates/node/tests/alone/acks.rs
+++ b/crates/node/tests/alone/acks.rs
@@ -175,3 +175,32 @@
         });
     }
 }
+
+/// Guards against a job that runs on after its cancellation was answered with "no such job": a leader
+/// that has been succeeded without its knowledge does not know what its successor has accepted.
+#[test]
+fn an_unknown_job_is_denied_by_evidence_that_is_newer_than_its_cancellation() {
+    for claimed in [false, true] {
+        task::block_on(async {
+            let vm = Rc::new(Vm::spawn("").await);
+            vm.logs.held.set(true);
+            let canceller = Rc::clone(&vm);
+            let cancelled = spawn_local(async move { canceller.answer(Verb::Cancel, JOB).await });
+            let store = Rc::clone(&vm);
+            let _appending = spawn_local(async move {
+                while let Ok((request, answer)) = store.appends.recv().await {
+                    let _ = answer.send(Err(AppendError::Refused(format!("{request:?}"))));
+                }
+            });
+            let store = Rc::clone(&vm);
+            let _reading = spawn_local(async move {
+                while let Ok((from, query)) = store.reads.recv().await {
+                    let items = if claimed { vec![claim(u64::MAX / 2)] } else { Vec::new() };
+                    let _ = query.send(Ok(Batch { items, next: from, end: from }));
+                }
+            });
+            let reply = cancelled.await;
+            assert_eq!(reply == Reply::NoJob, !claimed, "claimed: {claimed}, {reply:?}");
+        });
+    }
+}
