A worker gets at most 32 starts without a reply

Cause: all starts to a worker left at a time, and queued for its 64 connections beyond their timeout: in doubt, stopped, started again.

Change: a worker with 32 starts that have no reply has no place for a further one; each reply makes room.

Evidence: a_worker_gets_further_starts_as_it_replies (lead) failed before (500 starts at a time).

Ruled out: a queue of commands for each worker (what waits there would be sent after the evidence that it was decided by).

Fleet::start_waiting is new.

--- a/crates/lead/src/commands.rs
+++ b/crates/lead/src/commands.rs
@@ -63,6 +63,7 @@
             self.raise_token(name);
         }
         let Some(worker) = self.workers.get_mut(name) else { return };
+        worker.improved |= worker.may_be_saturated();
         let Some(run) = worker.runs.get_mut(id).filter(|run| run.run_id == run_id) else { return };
         if run.state != RunState::Stopping {
             // Otherwise the command in flight is the stop command.
--- a/crates/lead/src/search.rs
+++ b/crates/lead/src/search.rs
@@ -185,7 +185,9 @@
         now: Now,
     ) -> Option<f64> {
         self.evaluated.set(self.evaluated.get() + 1);
-        let usable = worker.usable(self.durable_batch(), now.mono) && req.accepts(worker);
+        let usable = worker.usable(self.durable_batch(), now.mono)
+            && req.accepts(worker)
+            && !worker.is_saturated();
         let ticket = || !req.needs_ticket || self.ticket(id, &worker.info.id, now).is_some();
         let reserved = self.reserved(&worker.info.id, id, now);
         if !usable || reserved || !self.may_share(id, worker, now) || !ticket() {
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -25,6 +25,9 @@
 pub(crate) const MAX_SILENCE: Millis = 2_000;
 /// Longest time from a command to its reply.
 pub(crate) const MAX_REPLY_TIME: Millis = 1_000;
+/// Most start commands without a reply to one worker, well within the connections that it accepts: a
+/// command that waits for one is in doubt after its timeout.
+const MAX_UNANSWERED_STARTS: usize = 32;
 /// Amount by which a reading of the worker clock may be off the estimate beyond that.
 const CLOCK_TOLERANCE: Millis = 400;
 
@@ -219,6 +222,17 @@
             && now < self.replied_at + MAX_SILENCE
     }
 
+    /// Returns whether so many start commands to the worker have no reply that it gets no further ones.
+    pub(crate) fn is_saturated(&self) -> bool {
+        let starting = |run: &&Run| run.state == RunState::Starting;
+        self.may_be_saturated()
+            && self.runs.values().filter(starting).count() >= MAX_UNANSWERED_STARTS
+    }
+
+    pub(crate) fn may_be_saturated(&self) -> bool {
+        self.runs.len() >= MAX_UNANSWERED_STARTS
+    }
+
     /// Estimates the current worker clock, assuming that it runs at the rate of the leader's.
     pub fn clock_now(&self, now: Millis) -> Option<Millis> {
         self.clock.map(|(clock, at)| clock + now.saturating_sub(at))
--- a/crates/lead/tests/fleet/mod.rs
+++ b/crates/lead/tests/fleet/mod.rs
@@ -211,6 +211,19 @@
         self.commands().into_iter().filter_map(start).collect()
     }
 
+    /// Confirms start commands until there are no further ones, and returns them.
+    pub(crate) fn start_waiting(&mut self) -> Vec<Sent> {
+        let mut all = Vec::new();
+        loop {
+            let starts = self.starts();
+            if starts.is_empty() {
+                return all;
+            }
+            starts.iter().for_each(|sent| self.reply_start(sent, Ok(1)));
+            all.extend(starts);
+        }
+    }
+
     pub(crate) fn stops(&mut self) -> Vec<Stop> {
         let stop = |order| match order {
             Command::Stop(_, stop) => Some(stop),
--- a/crates/lead/tests/room.rs
+++ b/crates/lead/tests/room.rs
@@ -266,3 +266,27 @@
     let again = started.iter().find(|(_, job)| &**job == "s").expect("the service");
     assert!(sent.iter().all(|(on, _)| *on != again.0), "a worker without a task of it");
 }
+
+/// Guards against commands that are in doubt, and runs that are stopped and started again, since more
+/// starts leave at a time than their worker accepts connections.
+#[test]
+fn a_worker_gets_further_starts_as_it_replies() {
+    const MAX_CONNECTIONS: usize = 64;
+    let mut fleet = Fleet::open(2);
+    let size = Size { cpu: 1, memory: 1, accel: 0 };
+    let wide = Step { count: 1_000, size, estimate: 1_000, ..Step::default() };
+    fleet.accept("a", Spec { text: "t".into(), steps: vec![wide], repeat: None });
+    let mut started = 0;
+    for _ in 0..100 {
+        let starts = fleet.starts();
+        for id in ["w0", "w1"] {
+            let to_worker = starts.iter().filter(|(worker, _)| &**worker == id).count();
+            assert!(to_worker <= MAX_CONNECTIONS / 2, "{to_worker} starts to {id} at a time");
+        }
+        let further = fleet.starts();
+        assert!(further.is_empty() || starts.is_empty(), "{} before a reply", further.len());
+        started += starts.len();
+        starts.iter().for_each(|sent| fleet.reply_start(sent, Ok(1)));
+    }
+    assert_eq!(started, 1_000);
+}
