--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -285,7 +285,7 @@
         if self.started { State::Active } else { State::Queued }
     }
 
-    /// Begins `most` of the occurrences that are due at a Unix time and returns their numbers.
+    /// Begins at most `most` of the occurrences that are due at a Unix time and returns their numbers.
     pub fn begin(&mut self, unix: Millis, most: u32) -> Vec<u32> {
         let end = self.next_occurrence.saturating_add(most);
         self.begin_while(|job| job.next_occurrence < end && job.due(job.next_occurrence) <= unix)
--- a/crates/lead/src/restore.rs
+++ b/crates/lead/src/restore.rs
@@ -44,9 +44,13 @@
                 Some(summary) => Job::restore_split(id.clone(), record, summary, parts),
                 None => Job::restore(id.clone(), record, progress.remove(&id)),
             };
-            let unrecorded = job.is_terminal() && !job.end_stored || job.has_obsolete_parts();
+            let (ended, obsolete) =
+                (job.is_terminal() && !job.end_stored, job.has_obsolete_parts());
             self.jobs.insert(id.clone(), job);
-            if unrecorded {
+            if ended {
+                self.end_job(&id, now);
+            }
+            if ended || obsolete {
                 self.journal.add_progress(&id);
             }
             self.activate(&id, now);
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -229,6 +229,7 @@
             && self.runs.values().filter(starting).count() >= MAX_UNANSWERED_STARTS
     }
 
+    /// Returns whether the worker has as many runs as it takes to be saturated.
     pub(crate) fn may_be_saturated(&self) -> bool {
         self.runs.len() >= MAX_UNANSWERED_STARTS
     }
