Waiting jobs have their turn by time, not by pass

Cause: the turns of "A step without a place stands only for those that ask for the same" came with each pass: at 50 passes a second and some hundred waiting jobs, hundreds of searches of all workers a second on the leader of a large fleet.

Change: each waiting job has its turn within 2 s, whatever the rate of passes.

Evidence: crates/lead/tests/classes.rs holds as before.

--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -123,6 +123,8 @@
     pub(crate) search_cursor: Name,
     /// Last job in the name order whose turn it was in a placement pass.
     pub(crate) turn_cursor: Name,
+    /// When jobs last had their turn.
+    pub(crate) turn_at: Millis,
     /// When the load was last logged.
     pub(crate) load_reported: Millis,
     /// Number of workers compared with tasks so far.
@@ -197,6 +199,7 @@
             stragglers_checked: now.mono,
             search_cursor: "".into(),
             turn_cursor: "".into(),
+            turn_at: 0,
             load_reported: 0,
             evaluated: Cell::new(0),
             pass: 0,
--- a/crates/lead/src/pass.rs
+++ b/crates/lead/src/pass.rs
@@ -3,7 +3,7 @@
     ops::Bound,
 };
 
-use base::{Name, Now, Size};
+use base::{Millis, Name, Now, Size};
 use job::Step;
 
 use crate::{Lead, load::TaskKind};
@@ -11,10 +11,8 @@
 /// Number of unplaced steps of one kind after which no more of that kind are tried, but for those
 /// of jobs whose turn it is.
 pub(crate) const MAX_UNPLACED_STEPS: usize = 60;
-/// Fewest jobs whose turn it is in one pass.
-const MIN_TURN: usize = 8;
-/// Passes in which each waiting job has its turn.
-const PASSES_PER_ROTATION: usize = 32;
+/// Time within which each waiting job has its turn.
+const ROTATION_TIME: Millis = 2_000;
 
 /// Outcome so far of one placement pass over the queue. Free capacity only decreases during a
 /// pass, so that a step that could not be placed cannot be placed later in it either.
@@ -91,8 +89,8 @@
 
 impl Lead {
     /// Opens a placement pass, which tries all steps of the jobs whose turn it is.
-    pub(crate) fn open_pass(&mut self) -> Pass {
-        Pass { turn: self.next_turn(), ..Pass::default() }
+    pub(crate) fn open_pass(&mut self, now: Now) -> Pass {
+        Pass { turn: self.next_turn(now), ..Pass::default() }
     }
 
     /// Whether a task of a step may fit on some worker. The free capacity of the workers is that at
@@ -125,8 +123,13 @@
     }
 
     /// Returns the waiting jobs whose turn it is, in the order of their names.
-    fn next_turn(&mut self) -> BTreeSet<Name> {
-        let count = MIN_TURN + self.waiting.len() / PASSES_PER_ROTATION;
+    fn next_turn(&mut self, now: Now) -> BTreeSet<Name> {
+        let elapsed = now.mono.saturating_sub(self.turn_at).min(ROTATION_TIME);
+        let count = self.waiting.len() * elapsed as usize / ROTATION_TIME as usize;
+        if count == 0 {
+            return BTreeSet::new();
+        }
+        self.turn_at = now.mono;
         let after = (Bound::Excluded(self.turn_cursor.clone()), Bound::Unbounded);
         let after = self.waiting.range::<Name, _>(after).map(|(id, _)| id);
         let turn: Vec<Name> = after.chain(self.waiting.keys()).take(count).cloned().collect();
--- a/crates/lead/src/place.rs
+++ b/crates/lead/src/place.rs
@@ -19,7 +19,7 @@
     pub(crate) fn place_tasks(&mut self, now: Now) {
         let settled = self.settled(now);
         self.begin_pass();
-        let mut pass = self.open_pass();
+        let mut pass = self.open_pass(now);
         for id in self.scheduling_order(now) {
             if pass.starts >= MAX_STARTS {
                 return;
