A new leader waits with the tasks that a worker that left may still run, not with all

Cause: the new leader knew from the record of a worker that it may have runs, not which. A drained worker that left with a run or a start in doubt kept its record, and all inherited tasks waited until its leases could have ended, counted from the claim: settled all_listed=false silent=w2 after 13.4 s, when 387 tasks began.

Change: when a worker gets no more work, its leader adds to the record the runs that it may still have, on the condition of a deletion: it has listed all since earlier leaders' commands have ended. The next leader holds these tasks only. The worker gets work again once a record without the list is durable. A later run replaces one that only a record tells of.

Ruled out: counting leases from the earlier leader's last renewal (clocks differ, and all tasks would still wait); forgetting a drained worker that the store does not list (it may be cut off).

Evidence: crates/lead/tests/retire.rs fails before (0 starts of 1; a start on w0 without its record; no such run) and passes. The records of earlier versions are read; an earlier version ignores the list.

--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -11,6 +11,8 @@
     manifest::{Manifest, Queue},
     parts::PartId,
     progress::{Job, Occurrence, State, StepId, StepState, Task, TaskId},
-    record::{Crash, JobRecord, PartProgress, Progress, StepProgress, Summary, WorkerRecord},
+    record::{
+        Crash, JobRecord, LastRun, PartProgress, Progress, StepProgress, Summary, WorkerRecord,
+    },
     spec::{Repeat, Spec, SpecError, Step},
 };
--- a/crates/job/src/record.rs
+++ b/crates/job/src/record.rs
@@ -1,7 +1,7 @@
 use base::{Millis, Name};
 use serde::{Deserialize, Serialize};
 
-use crate::{Queue, Spec};
+use crate::{Queue, Spec, TaskId};
 
 /// Stored record of an accepted job. It is written once.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -123,4 +123,20 @@
     /// this field.
     #[serde(deserialize_with = "or_default")]
     pub long_leases: bool,
+    /// All runs that it may still have, if it gets no more work: tasks without one need not wait for
+    /// it. `None` if it may get work. Records of earlier versions end before this field.
+    #[serde(deserialize_with = "or_default")]
+    pub last_runs: Option<Vec<LastRun>>,
+}
+
+/// A run that a worker may still have when it gets no more work.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LastRun {
+    /// Task that it runs.
+    pub task: TaskId,
+    /// Number of the run.
+    pub run: u64,
+    /// Whether a command for it has no reply, so that it may begin later than the worker lists its
+    /// runs.
+    pub in_doubt: bool,
 }
--- a/crates/lead/src/completions.rs
+++ b/crates/lead/src/completions.rs
@@ -17,6 +17,7 @@
         let task = completion.task.clone();
         self.begin_listed(&task);
         self.remove_run(worker, &completion, now);
+        self.drop_superseded(&task, completion.run);
         let batch = self.apply_completion(worker, &completion, now);
         let mut incarnation = 0;
         if let Some(worker) = self.workers.get_mut(worker) {
--- a/crates/lead/src/journal.rs
+++ b/crates/lead/src/journal.rs
@@ -236,6 +236,7 @@
                 addr: worker.info.addr,
                 incarnation: worker.info.incarnation,
                 long_leases: worker.long_leases,
+                last_runs: worker.closed.then(|| worker.last_runs()),
             };
             batch.records.push(record(WORKER, &id, &worker_record));
         }
@@ -288,6 +289,7 @@
             RecordKey::Worker(id) => {
                 if let Some(worker) = self.workers.get_mut(id) {
                     worker.record_batch = None;
+                    worker.closed = false;
                 }
                 None
             }
--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -469,11 +469,12 @@
     }
 
     /// Returns whether the runs of earlier leaders are known: every worker has listed its
-    /// runs and completions, or the leases that those leaders and this one granted have certainly
+    /// runs and completions, or its record has its last runs, or the leases that those leaders and this one granted have certainly
     /// expired. Another leader that had taken over before their end would have renewed them.
     pub fn settled(&mut self, now: Now) -> bool {
         if !self.settled {
-            let unlisted = self.workers.values().filter(|worker| !worker.listed_all);
+            let known = |worker: &Worker| worker.listed_all || worker.closed;
+            let unlisted = self.workers.values().filter(|worker| !known(worker));
             let last_end = unlisted.map(Worker::unlisted_until).max();
             let all = last_end.is_none();
             let expired = self.unclaimed_at >= self.settle_deadline.max(last_end.unwrap_or(0));
@@ -492,6 +493,7 @@
                     workers = self.workers.len(),
                     silent = names(&|worker| !worker.synced),
                     unlisted = names(&|worker| worker.synced && !worker.listed_all),
+                    closed = names(&|worker| worker.closed),
                     unclaimed = now.mono.saturating_sub(self.unclaimed_at)
                 );
             }
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -22,6 +22,7 @@
 mod priority;
 mod restart;
 mod restore;
+mod retire;
 mod run;
 mod search;
 mod stragglers;
--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -93,7 +93,7 @@
         worker.leaving |= info.draining && !restarted;
         worker.listed = true;
         if worker.record_batch.is_none() && !info.draining {
-            worker.record_batch = Some(self.journal.add_worker(&id));
+            worker.open_record(&mut self.journal);
         }
         let present = WorkerInfo { incarnation: worker.info.incarnation, ..info.clone() };
         let before = std::mem::replace(&mut worker.info, present);
@@ -350,6 +350,7 @@
             run.confirmed_at = now.mono;
             run.progress_at = now.mono;
         }
+        run.recorded = false;
         if run.percent != row.percent {
             run.percent = row.percent;
             run.progress_at = now.mono;
@@ -366,6 +367,7 @@
     fn adopt(&mut self, id: &Name, row: RunStatus, now: Now) {
         let own = self.own_run(row.run);
         self.begin_listed(&row.task);
+        self.drop_superseded(&row.task, row.run);
         let job = self.jobs.get_mut(&row.task.job);
         let step = job.as_ref().and_then(|job| job.step(&row.task)).cloned().unwrap_or_default();
         let terminal = job.as_ref().is_none_or(|job| job.is_terminal());
--- a/crates/lead/src/restart.rs
+++ b/crates/lead/src/restart.rs
@@ -31,6 +31,7 @@
         worker.shown_at = now.mono;
         worker.restarted_at = now.mono;
         worker.record_batch = Some(batch);
+        worker.closed = false;
         worker.synced = false;
         worker.listed_all = false;
         worker.clock = None;
@@ -86,7 +87,7 @@
     pub(crate) fn record_long_leases(&mut self, id: &Name, now: Now) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         let long_leases = now.mono < worker.earlier_leases_end;
-        if worker.record_batch.is_some() && worker.long_leases != long_leases {
+        if (worker.record_batch.is_some() || worker.closed) && worker.long_leases != long_leases {
             worker.long_leases = long_leases;
             self.journal.add_worker(id);
         }
@@ -184,7 +185,7 @@
     /// Adds a run that may still begin on a worker, in the state in which it gets a stop
     /// command. Its task is not started elsewhere, and its capacity not used, until the worker
     /// has confirmed that the run will not begin.
-    fn add_late_start(&mut self, id: &Name, task: TaskId, run_id: u64, now: Now) {
+    pub(crate) fn add_late_start(&mut self, id: &Name, task: TaskId, run_id: u64, now: Now) {
         let job = self.jobs.get(&task.job);
         let step = job.and_then(|job| job.step(&task)).cloned().unwrap_or_default();
         let run = Run {
--- a/crates/lead/src/restore.rs
+++ b/crates/lead/src/restore.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use base::{Name, Now, event};
-use job::{Job, JobRecord, PartId, PartProgress, Progress, Summary, WorkerRecord};
+use job::{Job, JobRecord, LastRun, PartId, PartProgress, Progress, Summary, WorkerRecord};
 use port::{Item, WorkerInfo};
 
 use crate::{
@@ -18,6 +18,7 @@
         let mut summaries: BTreeMap<Name, Summary> = BTreeMap::new();
         let mut parts: BTreeMap<Name, Vec<(PartId, PartProgress)>> = BTreeMap::new();
         let mut models: BTreeMap<Name, ServiceModel> = BTreeMap::new();
+        let mut last_runs: Vec<(Name, Vec<LastRun>)> = Vec::new();
         for item in items.iter().filter(|item| !item.value.is_empty()) {
             match parse_key(&item.key) {
                 RecordKey::Job(id) => decode_into(&mut records, id, item),
@@ -28,7 +29,10 @@
                         parts.entry(id.into()).or_default().push((part, progress));
                     }
                 }
-                RecordKey::Worker(id) => self.restore_worker(id, item),
+                RecordKey::Worker(id) => {
+                    let runs = self.restore_worker(id, item);
+                    last_runs.extend(runs.map(|runs| (Name::from(id), runs)));
+                }
                 RecordKey::ServiceModel(image) => decode_into(&mut models, image, item),
                 RecordKey::Model => self.restore_model(item),
                 RecordKey::Other => {}
@@ -56,6 +60,9 @@
             self.activate(&id, now);
         }
         self.restore_suspects();
+        for (id, runs) in last_runs {
+            self.restore_last_runs(&id, runs, now);
+        }
         event!(
             "restored",
             epoch = self.epoch,
@@ -101,10 +108,11 @@
 
     /// Adds a worker that may have runs of an earlier leader. It gets no work until it has
     /// listed its runs; the remaining fields are set once its own record in the store is read.
-    fn restore_worker(&mut self, id: &str, item: &Item) {
+    /// Returns its last runs, if the record has them.
+    fn restore_worker(&mut self, id: &str, item: &Item) -> Option<Vec<LastRun>> {
         let Ok(record) = postcard::from_bytes::<WorkerRecord>(&item.value) else {
             log::warn!("event=record_skipped key={} reason=malformed", item.key);
-            return;
+            return None;
         };
         let info = WorkerInfo {
             id: id.into(),
@@ -118,12 +126,14 @@
             incarnation: record.incarnation,
         };
         let mut worker = Worker::new(info);
-        worker.record_batch = Some(0);
+        worker.closed = record.last_runs.is_some();
+        worker.record_batch = (!worker.closed).then_some(0);
         if record.long_leases {
             worker.long_leases = true;
             worker.earlier_leases_end = self.long_leases_end;
         }
         self.workers.insert(id.into(), worker);
+        record.last_runs
     }
 }
 
--- a/crates/lead/src/run.rs
+++ b/crates/lead/src/run.rs
@@ -38,6 +38,8 @@
     /// Newest incarnation of the worker that has listed the run; `None` until one has. Replies
     /// to commands do not name the incarnation.
     pub incarnation: Option<u64>,
+    /// Whether only the record of its worker tells of it.
+    pub(crate) recorded: bool,
     /// Worker clock when it was first known to run; `None` until it is.
     pub(crate) since: Option<Millis>,
     /// Whether its task was a suspect when it started.
@@ -84,6 +86,7 @@
             started_at: now,
             confirmed_at: 0,
             incarnation: None,
+            recorded: false,
             since: None,
             suspect: false,
             alone: false,
--- a/crates/lead/src/watch.rs
+++ b/crates/lead/src/watch.rs
@@ -19,6 +19,7 @@
             self.expire(&id, now, unclaimed_at);
             self.record_long_leases(&id, now);
             self.drain(&id);
+            self.retire(&id, now);
             self.forget(&id, now);
         }
     }
@@ -81,24 +82,6 @@
         for task in moves {
             self.stop(id, &task, "worker_draining");
         }
-        self.retire(id);
-    }
-
-    /// Deletes the record of a draining worker that has listed no runs, and all its completions, so
-    /// that the next leader does not wait for it. An earlier leader may have started runs there after an earlier list if
-    /// it has restarted unnoticed.
-    fn retire(&mut self, id: &Name) {
-        let commands_end = self.commands_end;
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        if worker.listed_all
-            && worker.listed_since >= commands_end
-            && worker.runs.is_empty()
-            && worker.unconfirmed_starts.is_empty()
-            && worker.record_batch.take().is_some()
-        {
-            event!("worker_retired", worker = id);
-            self.journal.delete_worker(id);
-        }
     }
 
     /// Removes a worker that the store does not list and that has no runs, valid leases or starts
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -44,6 +44,8 @@
     /// Journal batch with the worker's record. The worker gets work only once that
     /// batch is durable, and none while this is `None`.
     pub record_batch: Option<u64>,
+    /// Whether its record in the store has its last runs, since it gets no more work.
+    pub(crate) closed: bool,
     /// Runs on it, by task.
     pub runs: BTreeMap<TaskId, Run>,
     /// Allocated capacity, without the CPU of best-effort tasks.
@@ -149,6 +151,7 @@
             listed: false,
             unlisted_at: 0,
             record_batch: None,
+            closed: false,
             runs: BTreeMap::new(),
             used: Size::ZERO,
             best_effort_cpu: 0,
@@ -212,16 +215,19 @@
     /// Returns whether new work may be placed on the worker; `stored` is the newest
     /// durable batch.
     pub fn usable(&self, stored: u64, now: Millis) -> bool {
-        let relists = self.unlisted_at > 0 && now < self.unlisted_at + RELIST_GRACE;
-        let listed = self.listed || relists;
-        listed
-            && self.synced
-            && !self.info.draining
+        self.synced
+            && self.is_offered(now)
             && self.record_batch.is_some_and(|batch| batch <= stored)
             && self.paused_until <= now
             && now < self.replied_at + MAX_SILENCE
     }
 
+    /// Returns whether the list in the store offers the worker for new work.
+    pub(crate) fn is_offered(&self, now: Millis) -> bool {
+        let relists = self.unlisted_at > 0 && now < self.unlisted_at + RELIST_GRACE;
+        (self.listed || relists) && !self.info.draining
+    }
+
     /// Returns whether so many start commands to the worker have no reply that it gets no further ones.
     pub(crate) fn is_saturated(&self) -> bool {
         let starting = |run: &&Run| run.state == RunState::Starting;
