A newer manifest is requested from a VM that replies

Cause: a VM that does not read the manifest from the store asks the one with the newest version, chosen among all heard of in 60 s and of equals always the last by name. One that had announced the last version and was then suspended was asked again and again, 0.8 s each time.

Change: a VM that did not reply is asked after all others for 5 s, a silent one after those that are not, and of equals the one heard of last. New log line event=manifest_fetch_failed.

Ruled out: a shorter timeout (a large manifest takes long on the narrow link between regions), and reading from the store in each VM (that link again).

--- a/crates/elect/src/elect.rs
+++ b/crates/elect/src/elect.rs
@@ -40,6 +40,8 @@
 const MANIFEST_READERS: usize = 3;
 /// Age of the last heartbeat from which a VM no longer counts as a manifest reader.
 const MAX_READER_AGE: Millis = 2_200;
+/// Time for which a VM that did not reply to a request for its manifest is asked after the others.
+const FETCH_FAILURE_AGE: Millis = 5_000;
 /// Pause before the next claim after leadership or a claim was lost.
 const CLAIM_BACKOFF: Millis = 400;
 /// Resolution at which store latencies are compared, in milliseconds.
@@ -66,6 +68,8 @@
     heartbeat: Heartbeat,
     /// When it was received.
     received_at: Millis,
+    /// When the VM last failed to reply to a request for its manifest; 0 if it never has.
+    fetch_failed_at: Millis,
 }
 
 /// Membership and leadership from the point of view of one VM. Times are
@@ -183,7 +187,9 @@
         if heartbeat.claiming && heartbeat.epoch >= self.epoch {
             self.backoff_until = self.backoff_until.max(now + CLAIM_HOLD);
         }
-        self.peers.insert(heartbeat.from.name.clone(), Peer { heartbeat, received_at: now });
+        let name = heartbeat.from.name.clone();
+        let fetch_failed_at = self.peers.get(&name).map_or(0, |peer| peer.fetch_failed_at);
+        self.peers.insert(name, Peer { heartbeat, received_at: now, fetch_failed_at });
     }
 
     /// Updates leader, epoch and contact times from a heartbeat; ignores old epochs.
@@ -474,10 +480,19 @@
         heartbeats.filter(|h| h.epoch == self.epoch && !h.leaving).collect()
     }
 
-    /// Returns a VM with a newer manifest, preferably in the same failure domain.
-    pub fn manifest_source(&self) -> Option<Vm> {
+    /// Returns a VM with a newer manifest, preferably one that has not failed to reply lately, has
+    /// sent a heartbeat lately and is in the same failure domain.
+    pub fn manifest_source(&self, now: Millis) -> Option<Vm> {
         let preference = |peer: &&Peer| {
-            (peer.heartbeat.from.domain == self.me.domain, peer.heartbeat.manifest_version)
+            let failed_at = peer.fetch_failed_at;
+            let failed = failed_at > 0 && now < failed_at + FETCH_FAILURE_AGE;
+            (
+                Reverse(if failed { failed_at } else { 0 }),
+                now < peer.received_at + MAX_READER_AGE,
+                peer.heartbeat.from.domain == self.me.domain,
+                peer.heartbeat.manifest_version,
+                peer.received_at,
+            )
         };
         let newer = self
             .peers
@@ -486,6 +501,13 @@
         newer.max_by_key(preference).map(|peer| peer.heartbeat.from.clone())
     }
 
+    /// Notes that a VM has not replied to a request for its manifest.
+    pub fn on_fetch_failed(&mut self, name: &Name, now: Millis) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.fetch_failed_at = now;
+        }
+    }
+
     /// Returns whether this VM reads the manifest from the store. Only three VMs of a
     /// failure domain do so for all, since the link between regions is narrow.
     pub fn reads_manifest(&self, now: Millis) -> bool {
--- a/crates/elect/tests/claim.rs
+++ b/crates/elect/tests/claim.rs
@@ -250,6 +250,93 @@
     }
 }
 
+/// Guards against manifests that arrive late: a VM that does not read them from the store went on
+/// asking one that was suspended.
+#[test]
+fn a_newer_manifest_is_requested_from_a_vm_that_replies() {
+    struct Case {
+        name: &'static str,
+        /// Other VMs: name, failure domain, version of the manifest, age of the heartbeat.
+        others: &'static [(&'static str, &'static str, u64, Millis)],
+        /// VMs that did not reply to a request, and how long ago.
+        failed: &'static [(&'static str, Millis)],
+        source: Option<&'static str>,
+    }
+    let case = || Case { name: "", others: &[], failed: &[], source: None };
+    let cases = [
+        Case { name: "none is newer", others: &[("a", "d", 1, 0)], ..case() },
+        Case {
+            name: "same domain",
+            others: &[("a", "d", 2, 0), ("c", "e", 3, 0)],
+            source: Some("a"),
+            ..case()
+        },
+        Case {
+            name: "the newest of the domain",
+            others: &[("a", "d", 3, 100), ("c", "d", 2, 0)],
+            source: Some("a"),
+            ..case()
+        },
+        Case {
+            name: "silent since it announced the same version",
+            others: &[("a", "d", 2, 100), ("c", "d", 2, 1_200)],
+            source: Some("a"),
+            ..case()
+        },
+        Case {
+            name: "silent for long, another domain",
+            others: &[("a", "e", 2, 0), ("c", "d", 3, 2_300)],
+            source: Some("a"),
+            ..case()
+        },
+        Case {
+            name: "silent for long, the only one",
+            others: &[("c", "d", 3, 2_300)],
+            source: Some("c"),
+            ..case()
+        },
+        Case {
+            name: "did not reply",
+            others: &[("a", "d", 2, 100), ("c", "d", 3, 900)],
+            failed: &[("c", 0)],
+            source: Some("a"),
+        },
+        Case {
+            name: "did not reply, another domain",
+            others: &[("a", "e", 2, 100), ("c", "d", 3, 900)],
+            failed: &[("c", 0)],
+            source: Some("a"),
+        },
+        Case {
+            name: "none replied",
+            others: &[("a", "d", 2, 100), ("c", "d", 3, 900)],
+            failed: &[("a", 1_000), ("c", 0)],
+            source: Some("a"),
+        },
+        Case {
+            name: "did not reply long ago",
+            others: &[("a", "d", 2, 100), ("c", "d", 3, 900)],
+            failed: &[("c", 5_000)],
+            source: Some("c"),
+        },
+    ];
+    for case in cases {
+        let mut election = Election::new(vm("b"), 0);
+        election.manifest_version = 1;
+        for (name, domain, manifest_version, age) in case.others {
+            let from = Vm { domain: (*domain).into(), ..vm(name) };
+            let manifest_version = *manifest_version;
+            let heartbeat = Heartbeat { from, manifest_version, ..heartbeat(name, None, 0) };
+            election.on_heartbeat(heartbeat, 10_000 - age);
+        }
+        for (name, age) in case.failed {
+            election.on_fetch_failed(&(*name).into(), 10_000 - age);
+        }
+        let source = election.manifest_source(10_000).map(|vm| vm.name);
+        assert_eq!(source.as_deref(), case.source, "{}", case.name);
+    }
+}
+
 #[test]
 fn a_leader_holds_back_appends_for_a_successor_but_not_for_ever() {
     struct Case {
--- a/crates/node/src/manifest.rs
+++ b/crates/node/src/manifest.rs
@@ -125,20 +125,26 @@
 pub(crate) fn fetch(node: &Rc<Node>) {
     let vm = {
         let mut shared = node.shared.borrow_mut();
-        let reads = shared.election.reads_manifest(now().mono) && shared.election.store_reachable;
-        let due = !reads && !shared.fetching && now().mono >= shared.fetched_at + FETCH_INTERVAL;
-        let Some(vm) = shared.election.manifest_source().filter(|_| due) else { return };
+        let time = now().mono;
+        let reads = shared.election.reads_manifest(time) && shared.election.store_reachable;
+        let due = !reads && !shared.fetching && time >= shared.fetched_at + FETCH_INTERVAL;
+        let Some(vm) = shared.election.manifest_source(time).filter(|_| due) else { return };
         shared.fetching = true;
-        shared.fetched_at = now().mono;
+        shared.fetched_at = time;
         vm
     };
     let node = Rc::clone(node);
     spawn_local(async move {
         let link = node.link(&vm);
         let reply = link.call::<(), Option<Manifest>>(Method::Manifest, &(), FETCH_TIMEOUT).await;
-        if let Ok(Some(manifest)) = reply {
-            node.adopt(manifest, &vm.name);
-        }
         node.shared.borrow_mut().fetching = false;
+        match reply {
+            Ok(Some(manifest)) => node.adopt(manifest, &vm.name),
+            Ok(None) => {}
+            Err(e) => {
+                event!("manifest_fetch_failed", from = vm.name, why = e);
+                node.shared.borrow_mut().election.on_fetch_failed(&vm.name, now().mono);
+            }
+        }
     });
 }
