Occurrences that an earlier leader began before their time start when they are due

Cause: what an earlier leader had begun, by a listed run or its record of progress, counted as due.

Change: such an occurrence is in progress and its runs go on, but its tasks are queued once it is due by this leader's clock.

Ruled out: not beginning it at all (its runs and their ends would be unknown); stopping the listed run (work is lost, and the start has been judged already).

--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -101,6 +101,9 @@
 pub struct Occurrence {
     /// Steps, by index.
     pub steps: Vec<StepState>,
+    /// Whether it is not due by this leader's clock, though an earlier leader has begun it. None of
+    /// its tasks is queued meanwhile.
+    pub early: bool,
 }
 
 /// An accepted job.
@@ -146,7 +149,7 @@
             remaining: step.count,
             open: false,
         });
-        Occurrence { steps: steps.collect() }
+        Occurrence { steps: steps.collect(), early: false }
     }
 }
 
@@ -258,7 +261,7 @@
     /// Returns the time at which an occurrence is due, in Unix milliseconds; 0 for a job
     /// without a schedule.
     pub fn due(&self, occ: u32) -> Millis {
-        self.spec.repeat.map_or(0, |r| r.start + u64::from(occ) * r.interval)
+        self.spec.repeat.map_or(0, |repeat| repeat.due(occ))
     }
 
     /// Returns whether the job has completed, failed or been cancelled, so that nothing
@@ -307,6 +310,39 @@
         begun
     }
 
+    /// Marks an occurrence that has begun but is not due at `unix` as early. Returns whether it is.
+    pub fn hold_early(&mut self, occ: u32, unix: Millis) -> bool {
+        let early = self.due(occ) > unix;
+        if let Some(state) = self.in_progress.get_mut(&occ) {
+            state.early = early;
+        }
+        early
+    }
+
+    /// Returns the tasks of open steps, those that are not done, of the early occurrences that are due
+    /// at `unix`, which are no longer early then.
+    pub fn release_due(&mut self, unix: Millis) -> Vec<TaskId> {
+        let repeat = self.spec.repeat;
+        let due = |occ: u32| repeat.is_none_or(|repeat| repeat.due(occ) <= unix);
+        let mut released = Vec::new();
+        for (occ, state) in &mut self.in_progress {
+            if !state.early || !due(*occ) {
+                continue;
+            }
+            state.early = false;
+            for (step, tasks) in state.steps.iter().enumerate().filter(|(_, step)| step.open) {
+                let undone = tasks.tasks.iter().enumerate().filter(|(_, task)| !task.done);
+                released.extend(undone.map(|(index, _)| TaskId {
+                    job: self.id.clone(),
+                    occurrence: *occ,
+                    step: step as u32,
+                    index: index as u32,
+                }));
+            }
+        }
+        released
+    }
+
     /// Opens the steps of an occurrence whose dependencies are done; returns the indexes
     /// of those newly opened.
     pub fn open_steps(&mut self, occ: u32) -> Vec<u32> {
--- a/crates/job/src/spec.rs
+++ b/crates/job/src/spec.rs
@@ -32,6 +32,13 @@
     pub interval: Millis,
 }
 
+impl Repeat {
+    /// Returns the time of an occurrence, in Unix milliseconds.
+    pub(crate) fn due(self, occ: u32) -> Millis {
+        self.start + u64::from(occ) * self.interval
+    }
+}
+
 /// A step: identical tasks that may run in parallel.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Step {
--- a/crates/lead/src/audit.rs
+++ b/crates/lead/src/audit.rs
@@ -188,7 +188,7 @@
 
 /// Calls `visit` for each task of an open step that is not done.
 fn for_each_due(job: &Job, mut visit: impl FnMut(TaskId, &Task)) {
-    for (occurrence, state) in &job.in_progress {
+    for (occurrence, state) in job.in_progress.iter().filter(|(_, state)| !state.early) {
         for (number, step) in state.steps.iter().enumerate().filter(|(_, step)| step.open) {
             for (index, task) in step.tasks.iter().enumerate().filter(|(_, task)| !task.done) {
                 let (step, index) = (number as u32, index as u32);
--- a/crates/lead/src/completions.rs
+++ b/crates/lead/src/completions.rs
@@ -15,7 +15,7 @@
     /// Handles a completion listed by a worker.
     pub(crate) fn on_completion(&mut self, worker: &Name, completion: Completion, now: Now) {
         let task = completion.task.clone();
-        self.begin_listed(&task);
+        self.begin_listed(&task, now);
         self.remove_run(worker, &completion, now);
         self.drop_superseded(&task, completion.run);
         let batch = self.apply_completion(worker, &completion, now);
--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -167,6 +167,8 @@
     pub(crate) unclaimed_at: Millis,
     /// Jobs with occurrences that have not begun.
     recurring: BTreeSet<Name>,
+    /// Jobs with occurrences that an earlier leader has begun and that are not due yet.
+    early: BTreeSet<Name>,
     /// Tasks that may crash their workers and are started in isolation.
     pub(crate) suspects: BTreeSet<TaskId>,
     /// Workers that get no tasks but suspects.
@@ -222,6 +224,7 @@
             settled_at: 0,
             unclaimed_at: now.mono,
             recurring: BTreeSet::new(),
+            early: BTreeSet::new(),
             suspects: BTreeSet::new(),
             isolated: BTreeSet::new(),
             planned: BTreeMap::new(),
@@ -302,11 +305,31 @@
         }
         let occs: Vec<u32> = job.in_progress.keys().copied().collect();
         for occ in occs {
-            self.open_steps(id, occ);
+            self.resume(id, occ, now);
         }
         self.begin_due(id, now);
     }
 
+    /// Resumes an occurrence that an earlier leader has begun: its tasks are queued once it is due,
+    /// since that leader's clock may have been ahead.
+    fn resume(&mut self, id: &Name, occ: u32, now: Now) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if job.hold_early(occ, now.unix) {
+            self.early.insert(id.clone());
+        }
+        self.open_steps(id, occ);
+    }
+
+    /// Queues the tasks of a job's occurrences that were begun early and are due now.
+    fn resume_due(&mut self, id: &Name, now: Now) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let tasks = job.release_due(now.unix);
+        if !job.in_progress.values().any(|occurrence| occurrence.early) {
+            self.early.remove(id);
+        }
+        tasks.iter().for_each(|task| self.enqueue(task));
+    }
+
     /// Begins occurrences that are due, in their order, as long as few tasks of the job wait.
     /// Returns whether any has begun.
     fn begin_due(&mut self, id: &Name, now: Now) -> bool {
@@ -331,7 +354,7 @@
 
     /// Begins the occurrence of a task that a worker has listed. An earlier leader may have begun it
     /// by a clock that is ahead, and its record may not be durable.
-    pub(crate) fn begin_listed(&mut self, id: &TaskId) {
+    pub(crate) fn begin_listed(&mut self, id: &TaskId, now: Now) {
         let Some(job) = self.jobs.get_mut(&id.job).filter(|job| job.stored) else { return };
         let begun = job.begin_through(id.occurrence);
         if !begun.is_empty() {
@@ -339,7 +362,7 @@
             self.journal.add_progress(&id.job);
         }
         for occ in begun {
-            self.open_steps(&id.job, occ);
+            self.resume(&id.job, occ, now);
         }
     }
 
@@ -364,7 +387,8 @@
     /// Queues a task unless it is done, queued or running.
     pub(crate) fn enqueue(&mut self, id: &TaskId) {
         let Some(job) = self.jobs.get_mut(&id.job) else { return };
-        if job.is_terminal() || !job.stored {
+        let early = job.in_progress.get(&id.occurrence).is_some_and(|state| state.early);
+        if job.is_terminal() || !job.stored || early {
             return;
         }
         let Some(task) = job.task_mut(id) else { return };
@@ -385,6 +409,9 @@
                 self.journal.add_progress(&id);
             }
         }
+        for id in self.early.clone() {
+            self.resume_due(&id, now);
+        }
         if now.mono >= self.model_saved + MODEL_SAVE_PERIOD {
             self.model_saved = now.mono;
             self.journal.add_model();
@@ -422,6 +449,7 @@
         self.waiting.remove(id);
         self.policies.retain(|step, _| step.job != *id);
         self.recurring.remove(id);
+        self.early.remove(id);
         let Some(job) = self.jobs.get_mut(id) else { return };
         if job.ended_at == 0 {
             job.ended_at = now.unix;
--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -366,7 +366,7 @@
     /// Adopts a run that a previous leader started, or stops it if its task is not to run.
     fn adopt(&mut self, id: &Name, row: RunStatus, now: Now) {
         let own = self.own_run(row.run);
-        self.begin_listed(&row.task);
+        self.begin_listed(&row.task, now);
         self.drop_superseded(&row.task, row.run);
         let job = self.jobs.get_mut(&row.task.job);
         let step = job.as_ref().and_then(|job| job.step(&row.task)).cloned().unwrap_or_default();
--- a/crates/lead/src/retire.rs
+++ b/crates/lead/src/retire.rs
@@ -40,7 +40,7 @@
     /// worker has listed its runs or its leases have expired.
     pub(crate) fn restore_last_runs(&mut self, id: &Name, runs: Vec<LastRun>, now: Now) {
         for LastRun { task, run: run_id, in_doubt } in runs {
-            self.begin_listed(&task);
+            self.begin_listed(&task, now);
             let job = self.jobs.get_mut(&task.job).filter(|job| !job.is_terminal());
             let Some(job) = job else { continue };
             let Some(step) = job.step(&task).cloned() else { continue };
--- a/crates/lead/tests/handover.rs
+++ b/crates/lead/tests/handover.rs
@@ -500,6 +500,68 @@
     assert_eq!(early, 0);
 }
 
+/// Guards against occurrences that start before their time, or never, after a leader whose clock was
+/// ahead: the next leader has to start each task when it is due.
+#[test]
+fn occurrences_begun_before_their_time_start_when_they_are_due() {
+    const INTERVAL: Millis = 60_000;
+    struct Case<'a> {
+        name: &'a str,
+        /// What happens between the starts by the earlier leader, of which one is known, and the
+        /// takeover.
+        before: &'a dyn Fn(&mut Fleet),
+        /// What happens to the known run after the takeover.
+        after: &'a dyn Fn(&mut Fleet, &Sent),
+        /// Tasks of the occurrences that start in their time.
+        starts: [usize; 3],
+    }
+    let cases = [
+        Case { name: "listed", before: &|_| {}, after: &|_, _| {}, starts: [2, 2, 1] },
+        Case { name: "stored", before: &|f| f.store(), after: &|_, _| {}, starts: [2, 2, 1] },
+        Case {
+            name: "failed",
+            before: &|_| {},
+            after: &|fleet, sent| fleet.list(&sent.0, &[], &[(1, &sent.1, Outcome::Failed)]),
+            starts: [2, 2, 2],
+        },
+        Case {
+            name: "done",
+            before: &|_| {},
+            after: &|fleet, sent| fleet.list(&sent.0, &[], &[(1, &sent.1, Outcome::Done)]),
+            starts: [2, 2, 1],
+        },
+    ];
+    for Case { name, before, after, starts } in cases {
+        let start = NOW.unix + 500;
+        let size = Size { cpu: 100, memory: 100, accel: 0 };
+        let steps = vec![Step { size, ..step(2) }];
+        let repeat = Some(Repeat { count: 4, start, interval: INTERVAL });
+        let mut fleet = Fleet::open(4);
+        fleet.accept("a", Spec { text: "t".into(), steps, repeat });
+        fleet.advance(500 + 3 * INTERVAL);
+        fleet.list_all();
+        let first = fleet.starts();
+        let sent = first.iter().find(|(_, sent)| sent.task.occurrence == 3).expect("begun");
+        before(&mut fleet);
+        fleet.behind = 3 * INTERVAL;
+        fleet.take_over();
+        fleet.meet_with(sent);
+        after(&mut fleet, sent);
+        let early = fleet.start_waiting();
+        assert!(early.iter().all(|(_, sent)| sent.task.occurrence == 0), "{name}: early");
+        let mut started = [0; 3];
+        for (occ, count) in started.iter_mut().enumerate() {
+            fleet.advance(INTERVAL);
+            fleet.list_all();
+            let now = fleet.start_waiting();
+            let due = |(_, start): &&Sent| start.task.occurrence as usize == occ + 1;
+            *count = now.iter().filter(due).count();
+            assert_eq!(*count, now.len(), "{name}: occurrence {}", occ + 1);
+        }
+        assert_eq!(started, starts, "{name}");
+    }
+}
+
 /// Returns a fleet of two workers, w1 of which has confirmed the start of the only task.
 fn fleet_with_run() -> (Fleet, Sent) {
     let mut fleet = Fleet::open(2);
