Members come before newcomers in the order of claims

Cause: a leader that is not in the record of the members waits for the 12 s in which an earlier leader may decide by the members' words, if a worker does not list its runs. Nothing in the order of claims preferred a member, and a leader can record newcomers 7.2 s after its claim at the earliest.

Change: a leader's heartbeat names the VMs that are not members; of the candidates, members claim first and are handed over to. Heartbeats of earlier versions are read, and theirs ignore the new field.

Ruled out: recording the members earlier, or a shorter wait of newcomers: an earlier leader needs no word of a VM that is not in the record.

--- a/crates/elect/src/elect.rs
+++ b/crates/elect/src/elect.rs
@@ -42,6 +42,8 @@
 const MAX_READER_AGE: Millis = 2_200;
 /// Time for which a VM that did not reply to a request for its manifest is asked after the others.
 const FETCH_FAILURE_AGE: Millis = 5_000;
+/// Most VMs that a heartbeat names as newcomers, to bound its size.
+const MAX_NEWCOMERS: usize = 16;
 /// Pause before the next claim after leadership or a claim was lost.
 const CLAIM_BACKOFF: Millis = 400;
 /// Resolution at which store latencies are compared, in milliseconds.
@@ -122,6 +124,8 @@
     pub leaving: bool,
     /// Whether a claim of this VM is running.
     pub claiming: bool,
+    /// VMs that are not members, as the leader said last.
+    newcomers: BTreeSet<Name>,
 }
 
 impl Election {
@@ -153,6 +157,7 @@
             manifest_version: 0,
             leaving: false,
             claiming: false,
+            newcomers: BTreeSet::new(),
         }
     }
 
@@ -181,6 +186,9 @@
         }
         self.update_leader(&heartbeat, now);
         self.update_lease(&heartbeat);
+        if heartbeat.leading && heartbeat.epoch == self.epoch {
+            self.newcomers = heartbeat.newcomers.iter().cloned().collect();
+        }
         if heartbeat.purpose == Purpose::TakeOver && heartbeat.epoch >= self.epoch {
             self.takeover_requested = true;
         }
@@ -246,6 +254,15 @@
         (self.leading && self.lease.members() != Some(&members)).then_some(members)
     }
 
+    /// Returns VMs that this leader has recently heard from and that are not in the newest record of
+    /// the members.
+    fn list_newcomers(&self, now: Millis) -> Vec<Name> {
+        let Some(members) = self.lease.members() else { return Vec::new() };
+        let heard = self.peers.iter().filter(|(_, peer)| now < peer.received_at + MEMBER_SILENCE);
+        let others = heard.map(|(name, _)| name).filter(|name| !members.contains(*name));
+        others.take(MAX_NEWCOMERS).cloned().collect()
+    }
+
     /// Records that a record of the members may reach the store from now on.
     pub fn on_members_sent(&mut self, members: BTreeSet<Name>) {
         self.lease.propose(members, &self.me.name);
@@ -316,8 +333,25 @@
 
     /// Returns the number of better candidates, each of which claims earlier.
     fn rank(&self, now: Millis) -> Millis {
-        let mine = score(self.effective_capacity(), self.store_latency, &self.me.name);
-        self.candidates(now).filter(|heartbeat| heartbeat_score(heartbeat) < mine).count() as Millis
+        let score = score(self.effective_capacity(), self.store_latency, &self.me.name);
+        let mine = (self.is_newcomer(&self.me.name), score);
+        self.candidates(now).filter(|heartbeat| self.preference(heartbeat) < mine).count() as Millis
+    }
+
+    /// Returns the sort key of a candidate, lowest first. Members come first: a leader that is none
+    /// waits for longer before it relies on the end of the earlier leader's decisions.
+    fn preference(&self, heartbeat: &Heartbeat) -> (bool, Score) {
+        let name = &heartbeat.from.name;
+        let score = score(heartbeat.cpu_capacity, heartbeat.store_latency, name);
+        (self.is_newcomer(name), score)
+    }
+
+    /// Returns whether a VM is known not to be a member.
+    fn is_newcomer(&self, name: &Name) -> bool {
+        match self.lease.members().filter(|_| self.leading) {
+            Some(members) => !members.contains(name),
+            None => self.newcomers.contains(name),
+        }
     }
 
     /// Returns the last heartbeats of VMs that may become leader: fresh, with access to
@@ -335,7 +369,7 @@
     /// Returns the best candidate to hand leadership over to.
     pub fn successor(&self, now: Millis) -> Option<Vm> {
         self.candidates(now)
-            .min_by_key(|heartbeat| heartbeat_score(heartbeat))
+            .min_by_key(|heartbeat| self.preference(heartbeat))
             .map(|heartbeat| heartbeat.from.clone())
     }
 
@@ -545,15 +579,15 @@
             others,
             sent_at: now,
             echo: self.leader_sent_at,
+            newcomers: if self.leading { self.list_newcomers(now) } else { Vec::new() },
         }
     }
 }
 
-/// Returns the sort key of a candidate, lowest first. The hash breaks ties.
-fn score(cpu_capacity: u32, store_latency: u32, name: &str) -> (Reverse<u32>, u32, u64) {
-    (Reverse(cpu_capacity), store_latency / LATENCY_BUCKET, hash(name.as_bytes()))
-}
+/// Sort key of a candidate, lowest first.
+type Score = (Reverse<u32>, u32, u64);
 
-fn heartbeat_score(heartbeat: &Heartbeat) -> (Reverse<u32>, u32, u64) {
-    score(heartbeat.cpu_capacity, heartbeat.store_latency, &heartbeat.from.name)
+/// Returns the sort key of a candidate. The hash breaks ties.
+fn score(cpu_capacity: u32, store_latency: u32, name: &str) -> Score {
+    (Reverse(cpu_capacity), store_latency / LATENCY_BUCKET, hash(name.as_bytes()))
 }
--- a/crates/elect/src/heartbeat.rs
+++ b/crates/elect/src/heartbeat.rs
@@ -76,4 +76,17 @@
     /// `sent_at` of the newest heartbeat that the sender has received from its leader; 0 if there
     /// is none. It proves to the leader that the sender followed it at that time.
     pub echo: Millis,
+    /// Some of the VMs that are not members yet; only a leader fills it in. Heartbeats of earlier
+    /// versions end before this field.
+    #[serde(deserialize_with = "or_default")]
+    pub newcomers: Vec<Name>,
+}
+
+/// Reads a field that is missing at the end of earlier heartbeats.
+fn or_default<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: serde::Deserializer<'de>,
+    T: Deserialize<'de> + Default,
+{
+    Ok(T::deserialize(deserializer).unwrap_or_default())
 }
--- a/crates/elect/tests/claim.rs
+++ b/crates/elect/tests/claim.rs
@@ -36,6 +36,7 @@
         others: Vec::new(),
         sent_at: 0,
         echo: 0,
+        newcomers: Vec::new(),
     }
 }
 
@@ -250,6 +251,56 @@
     }
 }
 
+/// Guards against inherited work that waits for long after a takeover: a VM that the members do not
+/// count yet became leader although a member could.
+#[test]
+fn members_come_before_newcomers_in_the_order_of_claims() {
+    struct Case {
+        name: &'static str,
+        /// Newcomers by the word of the leader.
+        newcomers: &'static [&'static str],
+        /// CPU capacity of the other candidate, `c`.
+        capacity: u32,
+        /// Whether this VM, `b`, claims when the leader has been silent for as long as the best
+        /// candidate waits.
+        first: bool,
+    }
+    let cases = [
+        Case { name: "stronger", newcomers: &[], capacity: 200, first: true },
+        Case { name: "weaker", newcomers: &[], capacity: 300, first: false },
+        Case { name: "stronger newcomer", newcomers: &["b"], capacity: 200, first: false },
+        Case { name: "weaker member", newcomers: &["c"], capacity: 300, first: true },
+        Case { name: "both newcomers", newcomers: &["b", "c"], capacity: 200, first: true },
+    ];
+    for case in cases {
+        let mut election = follower(250);
+        let newcomers = case.newcomers.iter().map(|name| (*name).into()).collect();
+        let leader = Heartbeat { newcomers, ..heartbeat("a", Some("a"), 0) };
+        election.on_heartbeat(leader, 10_000);
+        let other = Heartbeat { cpu_capacity: case.capacity, ..heartbeat("c", Some("a"), 1_000) };
+        election.on_heartbeat(other, 11_000);
+        let mut alone = follower(250);
+        let due = (10_000..).find(|at| alone.should_claim(*at)).expect("it claims");
+        assert_eq!(election.should_claim(due), case.first, "{}", case.name);
+    }
+}
+
+/// Guards against the same where the leader hands over.
+#[test]
+fn a_leader_hands_over_to_a_member() {
+    let mut election = Election::new(vm("a"), 0);
+    election.become_leader(5, 9_000);
+    let members = ["a", "b"].into_iter().map(Into::into).collect();
+    election.set_members(Some(members), 9_000);
+    for (name, cpu_capacity) in [("b", 250), ("c", 500)] {
+        let heartbeat = Heartbeat { cpu_capacity, ..heartbeat(name, Some("a"), 0) };
+        election.on_heartbeat(heartbeat, 10_000);
+    }
+    assert_eq!(election.successor(10_100).map(|vm| vm.name), Some("b".into()));
+    let sent = election.heartbeat(Purpose::Report, 10_100);
+    assert_eq!(sent.newcomers, vec!["c".into()]);
+}
+
 /// Guards against manifests that arrive late: a VM that does not read them from the store went on
 /// asking one that was suspended.
 #[test]
--- a/crates/node/tests/malformed.rs
+++ b/crates/node/tests/malformed.rs
@@ -92,3 +92,14 @@
         }
     }
 }
+
+/// Guards against VMs that do not hear each other while they are replaced by those of a new version.
+#[test]
+fn heartbeats_of_an_earlier_version_are_read() {
+    let sent = heartbeat();
+    assert!(sent.newcomers.is_empty());
+    let encoded = postcard::to_stdvec(&sent).expect("a heartbeat");
+    // The last field is an empty list.
+    let earlier = &encoded[..encoded.len() - 1];
+    assert_eq!(postcard::from_bytes(earlier), Ok(sent));
+}
