A worker that may have restarted gets no start before its next list

A worker crashes and is back before the leader knows; a start that gets no reply runs there for the longest lease, since its deadline is on the clock of the earlier incarnation, and is given up after the lease that the leader meant.

Cause: a worker in doubt (after a poll, start or stop without a reply, or the loss of its relay) got no deadline by polls and no acknowledgements, but starts with a deadline.

Change: it gets none before its next list, for which it is asked at once, also after a stop without a reply.

Ruled out: the longest lease for each start in doubt (lasting tasks of lost workers stay down: LOST).

--- a/crates/lead/src/commands.rs
+++ b/crates/lead/src/commands.rs
@@ -150,7 +150,7 @@
             }
             Err(_) => {
                 run.retry_at = now.mono + RETRY_PAUSE;
-                worker.doubted_at = now.mono;
+                self.doubt(name, now);
             }
         }
     }
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -213,9 +213,11 @@
     }
 
     /// Returns whether new work may be placed on the worker; `stored` is the newest
-    /// durable batch.
+    /// durable batch. An incarnation that is not known yet would take the deadline of a start, which is
+    /// on the clock of the known one, for the longest lease.
     pub fn usable(&self, stored: u64, now: Millis) -> bool {
         self.synced
+            && self.doubted_at == 0
             && self.is_offered(now)
             && self.record_batch.is_some_and(|batch| batch <= stored)
             && self.paused_until <= now
--- a/crates/lead/tests/doubt.rs
+++ b/crates/lead/tests/doubt.rs
@@ -9,6 +9,7 @@
 use base::{Millis, Size};
 use fleet::{Fleet, Sent, info};
 use job::{Spec, Step};
+use lead::Command;
 use port::WorkerError;
 use world::FakeWorker;
 
@@ -17,15 +18,15 @@
     Step { count: 1, size, estimate: 30_000, ..Step::default() }
 }
 
-/// Starts a task on a worker of two whose poll has just broken off: the worker has crashed and is
-/// back. Returns the start, and that worker with its run.
+/// Starts a task on a worker of two whose poll breaks off before the start arrives: the worker has
+/// crashed and is back. Returns the start, and that worker with its run.
 fn start_on_new_incarnation(fleet: &mut Fleet) -> (Sent, FakeWorker) {
     fleet.advance(8_000);
     fleet.list_all();
-    fleet.fail_poll("w0");
-    fleet.fail_poll("w1");
     fleet.accept("a", Spec { text: "t".into(), steps: vec![step()], repeat: None });
     let sent = fleet.starts().remove(0);
+    fleet.fail_poll("w0");
+    fleet.fail_poll("w1");
     let mut worker = FakeWorker::open(0, "s", 4_000);
     worker.crash(fleet.now(), fleet.now());
     worker.start(sent.1.clone(), &step(), false, fleet.now() + 10).expect("it starts");
@@ -50,6 +51,52 @@
     panic!("never started again");
 }
 
+/// Guards against a start that gives a restarted worker the longest lease: it was sent although the
+/// worker might have restarted.
+#[test]
+fn a_worker_that_may_have_restarted_gets_no_start_before_its_next_list() {
+    struct Case<'a> {
+        name: &'a str,
+        event: &'a dyn Fn(&mut Fleet),
+    }
+    let cases = [
+        Case { name: "a poll without a reply", event: &|fleet| fleet.fail_poll("w0") },
+        Case {
+            name: "a start without a reply",
+            event: &|fleet| {
+                fleet.accept("b", Spec { text: "t".into(), steps: vec![step()], repeat: None });
+                let sent = fleet.starts().remove(0);
+                fleet.reply_start(&sent, Err(WorkerError::InDoubt("timeout".into())));
+            },
+        },
+        Case {
+            name: "a stop without a reply",
+            event: &|fleet| {
+                fleet.accept("b", Spec { text: "t".into(), steps: vec![step()], repeat: None });
+                let sent = fleet.start_waiting().remove(0);
+                fleet.cancel("b");
+                fleet.commands();
+                fleet.reply_stop(&sent, Err(WorkerError::InDoubt("timeout".into())));
+            },
+        },
+        Case { name: "its relay is lost", event: &|fleet| fleet.lose_relay("w0") },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::open(1);
+        (case.event)(&mut fleet);
+        fleet.accept("a", Spec { text: "t".into(), steps: vec![step()], repeat: None });
+        let asks = |order: &Command| matches!(order, Command::Poll(id) if &**id == "w0");
+        let commands = fleet.commands();
+        let starts = commands.iter().filter(|order| matches!(order, Command::Start(..))).count();
+        assert_eq!(starts, 0, "{}: in doubt", case.name);
+        let polled = case.name == "a poll without a reply" || commands.iter().any(asks);
+        assert!(polled, "{}: it is asked at once", case.name);
+        fleet.advance(10);
+        fleet.list_known("w0");
+        assert_eq!(fleet.starts().len(), 1, "{}: it has listed its runs", case.name);
+    }
+}
+
 /// Guards against two runs of a task: a start that got no reply had given a restarted worker the
 /// longest lease, and its run was given up after the lease that the leader had meant.
 #[test]
