Rounds of preemptions skip steps for which no room can be made

Cause: every 60 ms a round compared each waiting plain step with each worker, also where no preemption could make room anywhere.

Change: a step that needs no less than one for which no plan was found in the round is skipped, and so is one that no worker could hold with all of its preemptible tasks gone. The plans are the same. The comparisons count as evaluations now.

Ruled out: a longer interval between rounds (tasks that could have room would wait).

Evidence: lead/tests/classes.rs rounds_of_preemptions_do_not_compare_each_step_with_each_worker fails with the skip taken out (19,000 comparisons a round of 20 workers).

--- a/crates/lead/src/pass.rs
+++ b/crates/lead/src/pass.rs
@@ -31,8 +31,8 @@
 }
 
 /// What steps have in common that the same workers can run, but for the size of a task.
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Class {
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Class {
     kind: TaskKind,
     service: Name,
     label: Option<Name>,
@@ -41,7 +41,7 @@
 }
 
 impl Class {
-    fn of(service: &Name, step: &Step, label: Option<&Name>) -> Class {
+    pub(crate) fn of(service: &Name, step: &Step, label: Option<&Name>) -> Class {
         let kind = TaskKind::of(step);
         Class {
             kind,
--- a/crates/lead/src/preemption.rs
+++ b/crates/lead/src/preemption.rs
@@ -3,7 +3,7 @@
 use base::{Millis, Name, Now, Size, event};
 use job::{Step, StepId, TaskId};
 
-use crate::{Lead, Run, RunState, Worker, load::TaskKind, search::Requirements};
+use crate::{Lead, Run, RunState, Worker, load::TaskKind, pass::Class, search::Requirements};
 
 /// Interval between preemption rounds, in milliseconds.
 const ROUND_INTERVAL: Millis = 60;
@@ -60,6 +60,12 @@
 struct PreemptionPool {
     by_worker: BTreeMap<Name, Vec<PreemptibleTask>>,
     allowance: BTreeMap<StepId, u32>,
+    /// Sizes and priorities of tasks for which no preemptions suffice, by what else they ask for. The
+    /// pool only shrinks, so that none will.
+    hopeless: BTreeMap<Class, Vec<(Size, u32)>>,
+    /// Bounds on the room that preemptions can make on one worker of a service with a label, or on any
+    /// one of the service.
+    most_room: BTreeMap<(Name, Option<Name>), Size>,
 }
 
 /// Preemptions on one worker that make a waiting task fit there.
@@ -204,8 +210,14 @@
         now: Now,
     ) -> Vec<Plan> {
         let job = self.jobs.get(&unplaced.step.job);
-        let gang = job.and_then(|job| job.step(&unplaced.first)).is_some_and(|step| step.gang);
-        if gang && unplaced.tasks > max_workers {
+        let Some(job) = job.filter(|_| max_workers > 0) else { return Vec::new() };
+        let Some(step) = job.step(&unplaced.first) else { return Vec::new() };
+        let (gang, queue) = (step.gang, &job.queue);
+        if unplaced.tasks == 0
+            || gang && unplaced.tasks > max_workers
+            || pool.is_hopeless(&queue.service, step, queue.priority)
+            || !step.size.fits(self.most_room(pool, &queue.service, step.requires.as_ref(), now))
+        {
             return Vec::new();
         }
         if now.mono < unplaced.since + PREEMPTION_DELAY
@@ -221,13 +233,47 @@
             pool.take(&plan);
             plans.push(plan);
         }
+        let none = plans.is_empty();
         if let Some(before) = before.filter(|_| plans.len() < unplaced.tasks) {
             *pool = before;
             plans.clear();
         }
+        if none && !step.has_own_workers(queue.needs_ticket) {
+            let class = Class::of(&queue.service, step, step.requires.as_ref());
+            pool.hopeless.entry(class).or_default().push((step.size, queue.priority));
+        }
         plans
     }
 
+    /// Returns a bound on the room that preemptions can make on one worker of a service with a label,
+    /// as the pool was when it was first asked for.
+    fn most_room(
+        &self,
+        pool: &mut PreemptionPool,
+        service: &Name,
+        label: Option<&Name>,
+        now: Now,
+    ) -> Size {
+        let group = (service.clone(), label.cloned());
+        if let Some(most) = pool.most_room.get(&group) {
+            return *most;
+        }
+        let stored = self.durable_batch();
+        let mut most = Size::ZERO;
+        for (name, list) in &pool.by_worker {
+            let Some(worker) = self.workers.get(name) else { continue };
+            let matches = worker.info.service == *service
+                && label.is_none_or(|label| worker.info.labels.contains(label));
+            if matches && worker.usable(stored, now.mono) {
+                let preemptible =
+                    list.iter().filter(|one| pool.allowance.contains_key(&one.task.step_id()));
+                most = most.max(preemptible.fold(worker.free(), |room, one| room.plus(one.size)));
+            }
+        }
+        pool.most_room.insert(group, most);
+        most
+    }
+
     /// Whether a task would fit on some worker once the plain tasks there have completed.
     fn fits_after_completions(&self, id: &TaskId, now: Now) -> bool {
         let Some(req) = self.requirements(id) else { return false };
@@ -248,6 +294,7 @@
         let stored = self.durable_batch();
         let plans = pool.by_worker.iter().filter_map(|(name, list)| {
             let worker = self.workers.get(name)?;
+            self.evaluated.set(self.evaluated.get() + 1);
             let usable = worker.usable(stored, now.mono) && !self.reservations.contains_key(name);
             let open = usable && (!req.needs_ticket || self.ticket(id, name, now).is_some());
             if !open || !req.matches(worker) || !req.under_limit(worker) {
@@ -280,6 +327,18 @@
 }
 
 impl PreemptionPool {
+    /// Whether no preemptions make room for a task of a step, since none did for one that needed no
+    /// more and could preempt as many.
+    fn is_hopeless(&self, service: &Name, step: &Step, priority: u32) -> bool {
+        let covers = |label: Option<&Name>| {
+            let failed = self.hopeless.get(&Class::of(service, step, label));
+            failed.is_some_and(|failed| {
+                failed.iter().any(|(size, other)| size.fits(step.size) && *other <= priority)
+            })
+        };
+        covers(None) || step.requires.as_ref().is_some_and(|label| covers(Some(label)))
+    }
+
     /// Removes the worker and the tasks used by a plan.
     fn take(&mut self, plan: &Plan) {
         self.by_worker.remove(&plan.worker);
--- a/crates/lead/tests/classes.rs
+++ b/crates/lead/tests/classes.rs
@@ -140,6 +140,49 @@
     assert!(compared <= 30, "{compared} comparisons of 3 workers in ten passes");
 }
 
+/// Guards against a leader that lags: each round of preemptions compared every waiting plain step
+/// with every worker.
+#[test]
+fn rounds_of_preemptions_do_not_compare_each_step_with_each_worker() {
+    const WORKERS: usize = 20;
+    struct Case {
+        name: &'static str,
+        /// CPU of the long-running task on each worker.
+        long_running: u64,
+        /// Number of sizes that the waiting steps ask for, falling from one to the next.
+        sizes: u64,
+    }
+    let cases = [
+        Case { name: "alike", long_running: 0, sizes: 1 },
+        Case { name: "different", long_running: 0, sizes: 500 },
+        Case { name: "beside long-running tasks, alike", long_running: 400, sizes: 1 },
+        Case { name: "beside long-running tasks, different", long_running: 400, sizes: 500 },
+    ];
+    for Case { name, long_running, sizes } in cases {
+        let mut fleet = Fleet::open(WORKERS);
+        if long_running > 0 {
+            let service = Step { long_running: true, ..step(WORKERS as u32, long_running) };
+            fleet.accept("service", spec(Step { per_worker: 1, ..service }));
+            assert_eq!(fleet.start_waiting().len(), WORKERS);
+            fleet.list_all();
+        }
+        fleet.accept("full", spec(step(WORKERS as u32, 4_000 - long_running)));
+        assert_eq!(fleet.start_waiting().len(), WORKERS);
+        for n in 0..1_000 {
+            fleet.accept(&format!("j{n:04}"), spec(step(1, 4_000 - n % sizes)));
+        }
+        fleet.advance(1_000);
+        fleet.commands();
+        let before = fleet.lead.evaluations();
+        for _ in 0..20 {
+            fleet.advance(60);
+            assert!(fleet.commands().is_empty(), "{name}: nothing has room");
+        }
+        let compared = (fleet.lead.evaluations() - before) / 20;
+        assert!(compared <= 3 * WORKERS as u64, "{name}: {compared} comparisons a round");
+    }
+}
+
 /// Guards against tasks of a crashed worker that never start again: workers were isolated for the
 /// suspects that had waited longest, though none could ever run those.
 #[test]
