--- a/crates/lead/benches/pass.rs
+++ b/crates/lead/benches/pass.rs
@@ -15,6 +15,8 @@
 const WORKERS: usize = 890;
 /// CPU of a worker, in thousandths of a core.
 const WORKER_CPU: u64 = 4_000;
+/// Runs on each worker.
+const WORKER_RUNS: u64 = 16;
 /// Passes of each measurement.
 const PASSES: usize = 60;
 /// Time between two passes.
@@ -41,8 +43,9 @@
 /// Measures passes over `jobs` jobs of one step each, which ask for `sizes` amounts of CPU.
 fn measure(jobs: usize, name: &str, sizes: u64, long_running: bool) {
     let mut fleet = Fleet::open(WORKERS);
-    fleet.accept("full", spec(WORKERS as u32, WORKER_CPU, false));
-    assert_eq!(fleet.start_waiting().len(), WORKERS);
+    let runs = WORKERS as u32 * WORKER_RUNS as u32;
+    fleet.accept("full", spec(runs, WORKER_CPU / WORKER_RUNS, false));
+    assert_eq!(fleet.start_waiting().len(), runs as usize);
     for n in 0..jobs {
         let cpu = WORKER_CPU - n as u64 % sizes;
         fleet.submit(&format!("j{n}"), spec(1, cpu, long_running));
