Test: a job that ended before its summary was stored can be queried

Callers could see: 410 for a job that has completed, right after a takeover. Cause: the end of a job whose parts were all stored, but not the summary with the time of the end, was restored without a time, so that its retention had long passed.

--- a/crates/lead/tests/records.rs
+++ b/crates/lead/tests/records.rs
@@ -296,3 +296,42 @@
     let unknown = fleet.lead.learned_interference(&"web1".into(), &"unknown".into());
     assert_ne!(before, unknown, "something was learned");
 }
+
+/// Returns a fleet whose job "a" has ended all of 3,000 tasks or, without `all`, all but one, with
+/// `more` steps of one task after them.
+fn wide(all: bool, more: u32) -> Fleet {
+    let mut fleet = Fleet::open(2);
+    let chain = (0..more).map(|n| Step { depends_on: (0..=n).collect(), ..step(1, 1) });
+    let steps = std::iter::once(step(3_000, 1)).chain(chain).collect();
+    fleet.accept("a", Spec { text: "t".into(), steps, repeat: None });
+    let starts = fleet.start_waiting();
+    let ended = if all { &starts[..] } else { &starts[1..] };
+    for id in ["w0", "w1"] {
+        let here = ended.iter().filter(|(worker, _)| &**worker == id);
+        let rows: Vec<_> = here.zip(1..).map(|((_, s), n)| (n, s, Outcome::Done)).collect();
+        fleet.list(id, &[], &rows);
+    }
+    fleet.store();
+    fleet
+}
+
+/// Guards against a completed job that is not found: its last parts were stored, but not the time of
+/// its end, and the next leader removed it at once.
+#[test]
+fn a_job_that_ended_before_its_summary_was_stored_can_be_queried() {
+    const RETENTION: Millis = 600_000;
+    let mut fleet = wide(false, 0);
+    assert!(fleet.lead.jobs["a"].is_split());
+    let parts = wide(true, 1).records().into_iter().filter(|(key, _)| key.starts_with("t/a/"));
+    for (key, value) in parts {
+        fleet.keep(&Record { key, value });
+    }
+    fleet.take_over();
+    let done = Some(State::Completed);
+    for (after, state) in [(1_000, done), (RETENTION - 2_000, done), (2_000, None)] {
+        fleet.advance(after);
+        fleet.commands();
+        fleet.store();
+        assert_eq!(fleet.lead.state("a"), state, "{after} ms later");
+    }
+}
