--- a/review/common-3/stand.py
+++ b/review/common-3/stand.py
@@ -24,6 +24,7 @@
 HOLD_MAX_MS = 10_000
 STOP_MS = 200
 GANG_MS = 3_000
+LATE_RETRY_S = 5.0
 HEARTBEAT_S = 1.5
 
 
@@ -77,6 +78,7 @@
 PHRASES = {200: "OK", 400: "Bad Request", 404: "Not Found", 409: "Conflict", 410: "Gone",
            412: "Precondition Failed", 421: "Misdirected Request", 503: "Service Unavailable"}
 SILENT = object()
+RESET = object()
 
 
 async def read_head(reader):
@@ -103,8 +105,8 @@
 
 
 class HttpServer:
-    """Calls `handler(sender, method, path, query, headers, body)`, which returns a status and a body, or
-    SILENT for a call that gets no answer."""
+    """Calls `handler(method, path, query, headers, body)`, which returns a status and a body, SILENT for a
+    call that gets no answer, or RESET."""
 
     def __init__(self, handler):
         self.handler = handler
@@ -126,6 +128,9 @@
                 url = urlsplit(target)
                 query = {k: v[0] for k, v in parse_qs(url.query, keep_blank_values=True).items()}
                 answer = await self.handler(method, url.path, query, headers, body)
+                if answer is RESET:
+                    writer.transport.abort()
+                    return
                 if answer is SILENT:
                     # The call gets no answer; the caller gives it up.
                     await reader.read(1)
@@ -160,9 +165,10 @@
     async def exchange():
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         try:
-            content = json.dumps(body).encode() if body is not None else b""
+            content = json.dumps(body).encode() if body is not None and not isinstance(body, bytes) else body
+            content = content or b""
             lines = [f"{method} {path} HTTP/1.1", f"Host: {host}", f"Content-Length: {len(content)}"]
-            if content:
+            if content and "content-type" not in (headers or {}):
                 lines.append("Content-Type: application/json")
             lines += [f"{k}: {v}" for k, v in (headers or {}).items()]
             writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + content)
@@ -345,18 +351,25 @@
         self.fleet, self.name, self.cpu, self.rack = fleet, name, cpu, rack
         self.record = fleet.record
         self.http = HttpServer(self.handle)
+        # The path to it, which is announced: a proxy that may keep a call and deliver it late.
+        self.path = HttpServer(self.carry)
         self.port = None
         self.life = None
         self.lives = 0
         self.seq = 0
         self.late = None
+        self.late_retries = False
         self.cut = False
+        # Calls that the proxy is delivering late, for the record only.
+        self.lates = set()
         # Where it is grey: how long after its start each task fails.
         self.fails_after_ms = 0
 
     async def open(self):
-        await self.http.open(self.port or 0)
-        self.port = self.http.port
+        if self.path.port is None:
+            await self.path.open()
+        await self.http.open()
+        self.port = self.path.port
         self.lives += 1
         self.life = Life(self.lives)
         self.record.note(f"worker {self.name} life={self.lives} born={self.life.born} port={self.port}")
@@ -380,13 +393,9 @@
         life.runs = {}
         life.wake()
         await self.http.close()
+        self.path.reset()
         await asyncio.sleep(down_s)
-        for _ in range(100):
-            try:
-                return await self.open()
-            except OSError:
-                await asyncio.sleep(0.05)
-        raise CannotRun("the worker's port is taken")
+        await self.open()
 
     def tick(self):
         life = self.life
@@ -423,33 +432,51 @@
         if not with_gang and self.fleet.gang_size(task):
             self.fleet.gang_ends(task, run, how)
 
-    async def handle(self, method, path, query, headers, body):
-        if self.life is None or self.cut:
+    async def carry(self, method, path, query, headers, body):
+        """The proxy: passes a call on, or keeps it, without an answer, and delivers it later."""
+        if self.cut:
             return SILENT
-        if method == "GET":
-            return 200, {}
-        if headers.get("expect-instance", self.name) != self.name:
-            return 421, {"clock_ms": self.life.clock()}
-        body = json.loads(body)
         delay = self.late(path) if self.late else None
         if delay is not None:
-            born = self.life.number
-            self.record.note(f"unanswered {self.name} life={born} {path} {json.dumps(body)} "
-                             f"carried out in {delay:.1f} s")
-            asyncio.ensure_future(self.carry_out_late(delay, born, path, body))
+            number = self.life.number if self.life else 0
+            self.record.note(f"unanswered {self.name} life={number} {path} {body.decode()} "
+                             f"delivered in {delay:.1f} s")
+            asyncio.ensure_future(self.deliver_late(delay, number, method, path, headers, body))
             return SILENT
-        return await self.carry_out(path, body)
+        if self.life is None:
+            return RESET
+        status, content = await self.pass_on(method, path, headers, body)
+        return RESET if status is None else (status, content)
+
+    async def pass_on(self, method, path, headers, body):
+        names = ("expect-instance", "content-type")
+        kept = {name: headers[name] for name in names if name in headers}
+        return await call(self.http.port, method, path, body=body, headers=kept, timeout=5.0)
 
-    async def carry_out_late(self, delay, number, path, body):
+    async def deliver_late(self, delay, number, method, path, headers, body):
+        due = time.monotonic() + delay
         await asyncio.sleep(delay)
-        if self.life is None:
+        # A proxy that retries waits until the worker is back; one that does not drops the call.
+        while self.late_retries and self.life is None and time.monotonic() < due + LATE_RETRY_S:
+            await asyncio.sleep(0.05)
+        if self.life is None or self.cut:
             self.record.note(f"late {self.name} {path} is lost: the worker is down")
             return
         self.record.note(f"late {self.name} sent-to-life={number} in-life={self.life.number} {path} "
-                         f"{json.dumps(body)}")
-        body = dict(body, wait_ms=0) if path == "/hold" else body
-        status, answer = await self.carry_out(path, body, late=True)
-        self.record.note(f"late {self.name} {path} outcome={status} {answer.get('reason', '')}")
+                         f"{body.decode()}")
+        self.lates.add((path, body))
+        status, content = await self.pass_on(method, path, headers, body)
+        self.lates.discard((path, body))
+        self.record.note(f"late {self.name} {path} outcome={status} {content[:60]!r}")
+
+    async def handle(self, method, path, query, headers, body):
+        if self.life is None:
+            return SILENT
+        if method == "GET":
+            return 200, {}
+        if headers.get("expect-instance", self.name) != self.name:
+            return 421, {"clock_ms": self.life.clock()}
+        return await self.carry_out(path, json.loads(body), (path, body) in self.lates)
 
     async def carry_out(self, path, body, late=False):
         life = self.life
@@ -778,6 +805,7 @@
             entry.end()
         for worker in self.workers:
             await worker.http.close()
+            await worker.path.close()
         for entry in self.entries:
             await entry.store.http.close()
         for entry in self.entries:
