--- a/review/common-3/stand.py
+++ b/review/common-3/stand.py
@@ -54,22 +54,24 @@
         self.note("BROKEN " + text)
 
 
-def free_port(kind=socket.SOCK_STREAM):
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+# Below the range from which the system takes ports for outgoing connections.
+PORTS = range(12_000, 32_000)
+taken_ports = set()
 
 
-def peer_port():
+def free_port():
     """A port that is free for TCP and UDP."""
-    for _ in range(200):
-        port = free_port()
+    for _ in range(500):
+        port = random.choice(PORTS)
         try:
-            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-                probe.bind(("127.0.0.1", port))
-            return port
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as probe:
+                    probe.bind(("127.0.0.1", port))
         except OSError:
             continue
+        if port not in taken_ports:
+            taken_ports.add(port)
+            return port
     raise CannotRun("no free port")
 
 
@@ -560,7 +562,7 @@
 
     def __init__(self, fleet, name, zone):
         self.fleet, self.name, self.zone = fleet, name, zone
-        self.callers, self.health, self.peers = free_port(), free_port(), peer_port()
+        self.callers, self.health, self.peers = free_port(), free_port(), free_port()
         self.process = None
         self.log = None
         self.store = Endpoint(fleet.store, name)
@@ -584,6 +586,8 @@
         path = os.path.join(self.fleet.folder, self.name + ".ini")
         with open(path, "w", encoding="utf-8") as file:
             file.write(self.settings())
+        if self.log:
+            self.log.close()
         self.log = open(os.path.join(self.fleet.folder, self.name + ".log"), "a", encoding="utf-8")
         env = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
         env.update(ORIOLERUDDER_CONFIG=path, ASYNC_STD_THREAD_COUNT="1")
@@ -745,6 +749,12 @@
             entry.start()
         until = time.monotonic() + 15
         while time.monotonic() < until:
+            for entry in self.entries:
+                if entry.process.poll() is not None:
+                    # Another process has taken one of its ports in between.
+                    self.record.note(f"entry {entry.name} has ended with {entry.process.returncode}")
+                    entry.callers, entry.health, entry.peers = free_port(), free_port(), free_port()
+                    entry.start()
             ready = [await call(e.health, "GET", "/ready", timeout=1.0) for e in self.entries]
             if all(status == 200 for status, _ in ready):
                 self.record.note("all entries are ready")
