Requests in doubt are fenced off, and those on their way at a restart

Cause: a poll without a reply reached the next incarnation of its worker and acknowledged numbers of completions that this one had not listed yet. The fencing token, by which a worker refuses late requests, was raised for starts in doubt only.

Change: a poll or a speed limit in doubt raises the token, and so does a restart, since polls may be on their way. Requests that are fenced off already raise nothing. Whatever starts on the next incarnation carries the raised token, so no earlier poll is accepted after it.

Ruled out: starts that reach an incarnation of which no list is known (in the trace all were sent after the first list); withholding acknowledgements while one is in doubt (the late one is sent before).

--- a/crates/lead/src/commands.rs
+++ b/crates/lead/src/commands.rs
@@ -60,7 +60,7 @@
     ) {
         let (id, run_id) = (&start.task, start.run);
         if matches!(reply, Err(WorkerError::InDoubt(_))) {
-            self.raise_token(name);
+            self.fence_off(name, start.token);
         }
         let Some(worker) = self.workers.get_mut(name) else { return };
         worker.improved |= worker.may_be_saturated();
@@ -163,6 +163,9 @@
         reply: Result<Millis, WorkerError>,
         now: Now,
     ) {
+        if matches!(reply, Err(WorkerError::InDoubt(_))) {
+            self.fence_off(name, throttle.token);
+        }
         let Some(worker) = self.workers.get_mut(name) else { return };
         match reply {
             Ok(clock) => self.on_reply(name, clock, now),
@@ -178,9 +181,18 @@
         }
     }
 
-    /// Raises the fencing token of a worker: once it has seen the new one, it refuses all commands
-    /// issued before, also in an incarnation that knows nothing of their stop commands.
-    fn raise_token(&mut self, name: &Name) {
+    /// Handles a request in doubt that carried `token`: unless the worker's token has been raised
+    /// since, raises it. The worker may still carry the request out.
+    pub(crate) fn fence_off(&mut self, name: &Name, token: u64) {
+        let newest = self.workers.get(name).map(|worker| worker.token(self.epoch));
+        if newest.is_some_and(|newest| token >= newest) {
+            self.raise_token(name);
+        }
+    }
+
+    /// Raises the fencing token of a worker: once it has seen the new one, it refuses all requests
+    /// issued before, also in an incarnation for which they were not meant.
+    pub(crate) fn raise_token(&mut self, name: &Name) {
         let Some(worker) = self.workers.get_mut(name) else { return };
         self.raise_count = (self.raise_count + 1).min((1 << TOKEN_COUNTER_BITS) - 1);
         worker.raises = self.raise_count;
--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -248,7 +248,10 @@
             Err(WorkerError::Refused(why, Some(clock))) if why != Refusal::OtherLife => {
                 return self.on_reply(id, clock, now);
             }
-            Err(_) => {
+            Err(why) => {
+                if matches!(why, WorkerError::InDoubt(_)) {
+                    self.fence_off(id, token);
+                }
                 if let Some(worker) = self.workers.get_mut(id) {
                     worker.unanswered_at = worker.unanswered_at.max(sent);
                     worker.doubted_at = now.mono;
--- a/crates/lead/src/restart.rs
+++ b/crates/lead/src/restart.rs
@@ -15,6 +15,8 @@
     /// was known, or may still reach it: its next list tells.
     pub(crate) fn on_restart(&mut self, id: &Name, incarnation: u64, source: &str, now: Now) {
         self.note_restart(id, incarnation, now);
+        // A poll that is still on its way acknowledges completions of the earlier incarnation.
+        self.raise_token(id);
         let batch = self.journal.add_worker(id);
         let max_lease = self.bounds.max_lease;
         let inherited_end = self.inherited_leases_end(now);
--- a/crates/lead/tests/token.rs
+++ b/crates/lead/tests/token.rs
@@ -8,7 +8,7 @@
 use base::Size;
 use fleet::{Fleet, Sent};
 use job::{Spec, Step};
-use port::{Refusal, Start, Stop, WorkerError};
+use port::{Outcome, Poll, Refusal, Start, Stop, Throttle, WorkerError};
 use world::FakeWorker;
 
 fn step() -> Step {
@@ -103,6 +103,101 @@
     }
 }
 
+/// Returns a fleet of one worker that has listed the completion of a task, and the poll that
+/// acknowledges it.
+fn fleet_with_ack() -> (Fleet, Poll) {
+    let (mut fleet, sent) = fleet_with_start();
+    fleet.reply_start(&sent, Ok(1));
+    fleet.advance(10);
+    fleet.list("w0", &[], &[(1, &sent.1, Outcome::Done)]);
+    fleet.store();
+    let poll = fleet.poll("w0");
+    assert_eq!(poll.acked, 1);
+    (fleet, poll)
+}
+
+/// Guards against completions that a worker forgets before it has listed them, so that done tasks
+/// run again: a poll without a reply acknowledged the numbers of its earlier incarnation.
+#[test]
+fn an_acknowledgement_in_doubt_is_refused_by_an_incarnation_that_has_got_a_start() {
+    struct Case {
+        name: &'static str,
+        /// What the leader learns of the poll and of the restart.
+        news: fn(&mut Fleet),
+    }
+    let cases = [
+        Case {
+            name: "in doubt, then listed by the next incarnation",
+            news: |fleet| {
+                fleet.fail_poll("w0");
+                fleet.advance(10);
+                fleet.list_since("w0", fleet.now(), 2, &[]);
+            },
+        },
+        Case {
+            name: "in doubt through a relay",
+            news: |fleet| {
+                fleet.fail_relayed_poll("w0", fleet.now() + 5_000);
+                fleet.advance(10);
+                fleet.list_since("w0", fleet.now(), 2, &[]);
+            },
+        },
+        Case {
+            name: "on its way while the record tells of the restart",
+            news: |fleet| {
+                fleet.advance(10);
+                fleet.restart("w0", 2);
+                fleet.advance(10);
+                fleet.list_since("w0", fleet.now(), 2, &[]);
+            },
+        },
+        Case {
+            name: "on its way while another poll shows the restart",
+            news: |fleet| {
+                fleet.advance(10);
+                fleet.list_since("w0", fleet.now(), 2, &[]);
+            },
+        },
+    ];
+    for case in cases {
+        let (mut fleet, late) = fleet_with_ack();
+        (case.news)(&mut fleet);
+        fleet.store();
+        fleet.accept("b", spec());
+        let start = fleet.starts().remove(0).1;
+        let mut worker = FakeWorker::open(0, "s", 4_000);
+        let now = fleet.now();
+        worker.start(Start { deadline: 2 * now, ..start }, &step(), false, now).expect("it starts");
+        assert!(worker.poll(&late, now).is_err(), "{}: it acknowledges {}", case.name, late.acked);
+    }
+}
+
+/// Guards against a run that goes on at a speed limit that was lifted: the command that set the limit
+/// got no reply and was carried out after the one that lifted it.
+#[test]
+fn a_speed_limit_in_doubt_is_refused_after_a_later_one() {
+    let (mut fleet, sent) = fleet_with_start();
+    let token = fleet.token("w0");
+    let throttle = Throttle { task: sent.1.task.clone(), run: sent.1.run, percent: 20, token };
+    let time = fleet.time();
+    fleet.lead.on_throttle(&"w0".into(), &throttle, in_doubt(), time);
+    assert!(fleet.token("w0") > token, "the next command has a higher token");
+}
+
+/// Guards against tokens that are raised for each of many requests which get no reply together.
+#[test]
+fn requests_in_doubt_that_are_fenced_off_already_raise_no_token() {
+    let (mut fleet, sent) = fleet_with_start();
+    fleet.reply_start(&sent, in_doubt());
+    let raised = fleet.token("w0");
+    let time = fleet.time();
+    let old = sent.1.token;
+    fleet.lead.on_poll(&"w0".into(), old, time.mono, in_doubt(), time);
+    assert_eq!(fleet.token("w0"), raised);
+    fleet.lead.on_poll(&"w0".into(), raised, time.mono, in_doubt(), time);
+    assert!(fleet.token("w0") > raised);
+}
+
 /// Guards against a leader that takes the refusal of a token that it has raised itself for a sign
 /// of its successor.
 #[test]
