Leases that a late poll grants to the next incarnation are waited for

Callers could see: two runs of a task (TWICE).

Cause: a poll in doubt may reach the next incarnation of its worker and, with its deadline on the earlier clock, grant the longest lease. After a restart the leader counted with such leases from polls for 1 s, although the worker refuses them only from its first request with the raised token on, which may come later.

Change: when an incarnation first replies to a poll with the newest token, the longest lease is counted from then if a poll was in doubt.

Ruled out: counting each poll in doubt with the longest delay from the restart on (14 s and the lease for each crashed worker: lasting tasks of lost workers would stay down, LOST).

Evidence: lead/tests/doubt.rs a_run_beside_a_late_renewal_is_not_given_up_while_it_goes_on fails before.

--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -249,10 +249,14 @@
                 return self.on_reply(id, clock, now);
             }
             Err(why) => {
-                if matches!(why, WorkerError::InDoubt(_)) {
+                let in_doubt = matches!(why, WorkerError::InDoubt(_));
+                if in_doubt {
                     self.fence_off(id, token);
                 }
                 if let Some(worker) = self.workers.get_mut(id) {
+                    if in_doubt {
+                        worker.poll_doubted_at = now.mono;
+                    }
                     worker.unanswered_at = worker.unanswered_at.max(sent);
                     worker.doubted_at = now.mono;
                     worker.next_addr(now.mono);
@@ -260,6 +264,7 @@
                 return;
             }
         };
+        let (epoch, max_lease) = (self.epoch, self.bounds.max_lease);
         let Some(worker) = self.workers.get_mut(id) else { return };
         let other = reply.incarnation.filter(|listed| *listed != worker.info.incarnation);
         if let Some(listed) = other
@@ -271,6 +276,9 @@
         if reply.incarnation.is_some() {
             worker.shown_at = now.mono;
         }
+        if token >= worker.token(epoch) {
+            worker.note_fenced(max_lease, now.mono);
+        }
         worker.at_other_addr = false;
         worker.record_list(reply.clock, now.mono);
         // A list that was requested earlier may be one of the earlier incarnation.
--- a/crates/lead/src/restart.rs
+++ b/crates/lead/src/restart.rs
@@ -34,6 +34,7 @@
         worker.restarted_at = now.mono;
         worker.record_batch = Some(batch);
         worker.closed = false;
+        worker.fenced = false;
         worker.synced = false;
         worker.listed_all = false;
         worker.clock = None;
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -69,6 +69,11 @@
     /// When leases that the present incarnation may have been granted on the clock of an
     /// earlier one have certainly expired; 0 if there are none.
     pub(crate) earlier_leases_end: Millis,
+    /// Whether the present incarnation has replied to a poll with a token raised since the restart,
+    /// so that it refuses whatever was meant for an earlier one.
+    pub(crate) fenced: bool,
+    /// When a poll was last in doubt; 0 if none was.
+    pub(crate) poll_doubted_at: Millis,
     /// Whether its record in the store says that there may be such leases.
     pub(crate) long_leases: bool,
     /// When the newest message came that shows its present incarnation; 0 if that is one that an
@@ -163,6 +168,8 @@
             list_clock: 0,
             lease_expiry: 0,
             earlier_leases_end: 0,
+            fenced: true,
+            poll_doubted_at: 0,
             long_leases: false,
             shown_at: 0,
             earlier: VecDeque::new(),
@@ -316,6 +323,18 @@
         self.earlier_leases_end = self.earlier_leases_end.max(now + delay + expiry(max_lease));
     }
 
+    /// Notes that the present incarnation has seen the newest token, if a poll was in doubt when it
+    /// restarted: until now, that poll may have granted it the longest lease.
+    pub(crate) fn note_fenced(&mut self, max_lease: Millis, now: Millis) {
+        if std::mem::replace(&mut self.fenced, true) {
+            return;
+        }
+        let late = self.poll_doubted_at > 0 && now < self.poll_doubted_at + MAX_COMMAND_DELAY;
+        if late {
+            self.earlier_leases_end = self.earlier_leases_end.max(now + expiry(max_lease));
+        }
+    }
+
     /// Records a list with its reading of the worker clock. Readings below the last one are
     /// ignored.
     pub(crate) fn record_list(&mut self, clock: Millis, now: Millis) {
--- a/crates/lead/tests/doubt.rs
+++ b/crates/lead/tests/doubt.rs
@@ -10,7 +10,7 @@
 use fleet::{Fleet, Sent, info};
 use job::{Spec, Step};
 use lead::Command;
-use port::WorkerError;
+use port::{Poll, WorkerError};
 use world::FakeWorker;
 
 fn step() -> Step {
@@ -109,6 +109,35 @@
     assert!(worker.has_lapsed(at), "the first run goes on");
 }
 
+/// Guards against two runs of a task: a poll in doubt had given the worker's next incarnation the
+/// longest lease, and a run there was given up after the lease that the leader had meant.
+#[test]
+fn a_run_beside_a_late_renewal_is_not_given_up_while_it_goes_on() {
+    let mut fleet = Fleet::open(2);
+    fleet.advance(20_000);
+    fleet.list_all();
+    let mut worker = FakeWorker::open(0, "s", 4_000);
+    worker.crash(fleet.now(), fleet.now());
+    fleet.fail_poll("w0");
+    fleet.restart("w0", 2);
+    fleet.advance(4_000);
+    fleet.fail_poll("w0");
+    // The poll of the earlier incarnation arrives just before the first one of the next.
+    let late = Poll { token: 0, acked: 0, deadline: Some(Millis::MAX), wait: 0 };
+    worker.poll(&late, fleet.now()).expect("the first request");
+    fleet.list_since("w0", fleet.now(), 2, &[]);
+    fleet.store();
+    fleet.fail_poll("w1");
+    fleet.accept("a", Spec { text: "t".into(), steps: vec![step()], repeat: None });
+    let sent = fleet.starts().remove(0);
+    assert_eq!(&*sent.0, "w0");
+    let now = fleet.now();
+    worker.start(sent.1.clone(), &step(), false, now).expect("it starts");
+    fleet.reply_start(&sent, Ok(1));
+    let at = started_again(&mut fleet, &sent);
+    assert!(worker.has_lapsed(at), "the first run goes on");
+}
+
 /// Guards against the same with a leader that takes over: nothing tells it of that lease.
 #[test]
 fn a_run_on_an_unknown_incarnation_is_not_given_up_by_the_next_leader() {
