--- a/crates/lead/tests/crashes.rs
+++ b/crates/lead/tests/crashes.rs
@@ -20,6 +20,7 @@
 const NONE: Faults = Faults {
     lost_reply: 0.0,
     late_command: 0.0,
+    late_poll: 0.0,
     unhealthy: 0.0,
     takeover: 0.0,
     unreachable: 0.0,
--- a/crates/lead/tests/schedules.rs
+++ b/crates/lead/tests/schedules.rs
@@ -75,6 +75,7 @@
         faults: Faults {
             lost_reply: 0.05,
             late_command: 0.0,
+            late_poll: 0.0,
             unhealthy: 0.05,
             takeover: 0.1,
             unreachable: 0.1,
@@ -90,6 +91,7 @@
         faults: Faults {
             lost_reply: 0.05,
             late_command: 0.05,
+            late_poll: 0.0,
             unhealthy: 0.05,
             takeover: 0.1,
             unreachable: 0.1,
@@ -105,6 +107,7 @@
 const NONE: Faults = Faults {
     lost_reply: 0.0,
     late_command: 0.0,
+    late_poll: 0.0,
     unhealthy: 0.0,
     takeover: 0.0,
     unreachable: 0.0,
@@ -306,6 +309,29 @@
     }
 }
 
+/// Schedules in which the next incarnation of a worker may get polls without a reply.
+const LATE_POLLS: &[Case] = &[
+    Case {
+        name: "workers crash while polls are late",
+        faults: Faults { crash: 0.6, late_poll: 0.1, ..NONE },
+    },
+    Case {
+        name: "workers restart before it is known and leaders die while polls are late",
+        faults: Faults { crash: 0.6, record_delay: 1_500, late_poll: 0.1, takeover: 0.1, ..NONE },
+    },
+];
+
+/// Guards against done tasks that run again: a poll without a reply acknowledged the numbers of a
+/// worker's earlier incarnation to the next one, which had not listed them.
+#[test]
+fn no_task_starts_again_by_late_acknowledgements() {
+    for case in LATE_POLLS {
+        for seed in 1..=100 {
+            assert_sound(case, seed, &play(case, seed, false));
+        }
+    }
+}
+
 /// Guards against a sound job that is given up, since workers crashed by chance while its task
 /// had just started on them.
 #[test]
--- a/crates/lead/tests/world/mod.rs
+++ b/crates/lead/tests/world/mod.rs
@@ -47,6 +47,8 @@
     pub(crate) lost_reply: f64,
     /// A command gets no reply and is carried out 2 to 12 s later.
     pub(crate) late_command: f64,
+    /// A poll gets no reply and reaches the worker 2 to 12 s later.
+    pub(crate) late_poll: f64,
     /// A worker refuses a command as unhealthy.
     pub(crate) unhealthy: f64,
     /// Per second: the leader dies and another one takes over.
@@ -74,6 +76,7 @@
     Start(Name, Start, bool),
     Stop(Name, Stop, bool),
     Poll(Name, Poll, Millis, bool),
+    LatePoll(Name, Poll),
     Started(Name, Start, Result<Millis, WorkerError>),
     Stopped(Name, Stop, Result<Millis, WorkerError>),
     Listed(u64, Name, Millis, Result<PollReply, WorkerError>),
@@ -456,6 +459,13 @@
             let reply = Event::Listed(request.token, id.clone(), sent, fault);
             return self.schedule(COMMAND_TIMEOUT, reply);
         }
+        if self.chance(self.faults.late_poll) {
+            let fault = Err(WorkerError::InDoubt("no reply".to_owned()));
+            let reply = Event::Listed(request.token, id.clone(), sent, fault);
+            self.schedule(request.wait + COMMAND_TIMEOUT, reply);
+            let delay = self.rng.random_range(2_000..12_000);
+            return self.schedule(delay, Event::LatePoll(id.clone(), request));
+        }
         self.schedule(NETWORK_DELAY, Event::Poll(id.clone(), request, sent, at_once));
     }
 
@@ -573,6 +583,13 @@
                 let sent = sent * 2 + u64::from(at_once);
                 self.schedule(NETWORK_DELAY, Event::Listed(request.token, id, sent, reply));
             }
+            Event::LatePoll(id, request) => {
+                if self.workers[&id].down_until <= self.now {
+                    // Nobody waits for its reply.
+                    let _ = self.workers.get_mut(&id).unwrap().poll(&request, self.now);
+                    self.acknowledge(&id, request.acked, request.token);
+                }
+            }
             Event::Started(id, start, reply) if epoch_of(start.token) == epoch => {
                 if let Some(lead) = &mut self.lead {
                     lead.on_start(&id, &start, reply, time);
