A task stays on its worker while a start without a reply may arrive

Cause: a start without a reply was stopped, and its task started elsewhere, once the worker had confirmed the stop. But the start could still arrive, in the worker's next incarnation, which knew nothing of the stop nor of the raised token. In the trace it arrives in the millisecond of the worker's return.

Change: the start stays in doubt for as long as it may arrive (lead::doubt). The run is sent again, under its number, to the same worker, after its next list; the task runs on no other worker meanwhile, and an end done or failed of it is not acknowledged. So a late start begins beside no other run and after no end that was taken note of. The worker's record names its starts in doubt (a field at its end, which earlier versions ignore). A worker that another one has replaced at its address can't carry one out.

Ruled out: waiting before the start elsewhere (12 s for each); raising the token earlier (no request can be there first); a deadline that the next incarnation would refuse (its clock starts lower).

--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -12,7 +12,8 @@
     parts::PartId,
     progress::{Job, Occurrence, State, StepId, StepState, Task, TaskId},
     record::{
-        Crash, JobRecord, LastRun, PartProgress, Progress, StepProgress, Summary, WorkerRecord,
+        Crash, JobRecord, LastRun, PartProgress, Progress, StartInDoubt, StepProgress, Summary,
+        WorkerRecord,
     },
     spec::{Repeat, Spec, SpecError, Step},
 };
--- a/crates/job/src/record.rs
+++ b/crates/job/src/record.rs
@@ -127,6 +127,19 @@
     /// it. `None` if it may get work. Records of earlier versions end before this field.
     #[serde(deserialize_with = "or_default")]
     pub last_runs: Option<Vec<LastRun>>,
+    /// Starts without a reply, which may still arrive. Records of earlier versions end before this
+    /// field.
+    #[serde(deserialize_with = "or_default")]
+    pub starts_in_doubt: Vec<StartInDoubt>,
+}
+
+/// A start command without a reply.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StartInDoubt {
+    /// Task that it starts.
+    pub task: TaskId,
+    /// Number of the run.
+    pub run: u64,
 }
 
 /// A run that a worker may still have when it gets no more work.
--- a/crates/lead/src/commands.rs
+++ b/crates/lead/src/commands.rs
@@ -61,6 +61,7 @@
         let (id, run_id) = (&start.task, start.run);
         if matches!(reply, Err(WorkerError::InDoubt(_))) {
             self.fence_off(name, start.token);
+            self.note_start_in_doubt(name, start, now);
         }
         let Some(worker) = self.workers.get_mut(name) else { return };
         worker.improved |= worker.may_be_saturated();
@@ -72,6 +73,7 @@
         if matches!(reply, Err(WorkerError::Refused(..) | WorkerError::Unsent(_))) {
             run.crash = None;
         }
+        let resent = run.resent;
         match reply {
             Ok(clock) => {
                 if run.state == RunState::Starting || run.state == RunState::Unconfirmed {
@@ -99,6 +101,10 @@
                 if why == Refusal::Ticket {
                     self.discard_ticket(id, name);
                 }
+                if why == Refusal::Old && resent {
+                    // The first command was carried out, so that the list has the run or its end.
+                    return self.confirm_start(name, id, now);
+                }
                 self.drop_run(name, id, &format!("{why:?}").to_lowercase(), now);
                 if why == Refusal::Room {
                     self.commands.push(Command::Poll(name.clone()));
@@ -112,7 +118,8 @@
                 if run.state == RunState::Starting {
                     run.state = RunState::Unconfirmed;
                 }
-                run.retry_at = now.mono + RETRY_PAUSE;
+                // The next list tells first whether it was carried out.
+                run.retry_at = now.mono;
                 worker.unconfirmed_starts.push((id.clone(), run_id, now.mono));
                 event!("start_in_doubt", task = id, worker = name, run = run_id, why = why);
                 self.doubt(name, now);
@@ -120,6 +127,17 @@
         }
     }
 
+    /// Marks a run as confirmed, and polls its worker.
+    fn confirm_start(&mut self, name: &Name, id: &TaskId, now: Now) {
+        let run = self.workers.get_mut(name).and_then(|worker| worker.runs.get_mut(id));
+        if let Some(run) = run.filter(|run| run.state == RunState::Starting) {
+            run.state = RunState::Running;
+            run.confirmed_at = now.mono;
+            run.progress_at = now.mono;
+        }
+        self.commands.push(Command::Poll(name.clone()));
+    }
+
     /// Handles the reply to a stop command.
     pub fn on_stop(
         &mut self,
--- a/crates/lead/src/completions.rs
+++ b/crates/lead/src/completions.rs
@@ -2,7 +2,7 @@
 use job::TaskId;
 use port::{Completion, Outcome};
 
-use crate::{Lead, RunState};
+use crate::{Lead, RunState, worker::PendingAck};
 
 /// Consecutive failed runs after which a worker is paused.
 const FAILURE_THRESHOLD: u32 = 3;
@@ -16,12 +16,15 @@
     pub(crate) fn on_completion(&mut self, worker: &Name, completion: Completion, now: Now) {
         let task = completion.task.clone();
         self.begin_listed(&task, now);
+        self.note_carried_out(worker, &task, completion.run);
+        let held_until = self.held_until(&completion);
         self.remove_run(worker, &completion, now);
         self.drop_superseded(&task, completion.run);
         let batch = self.apply_completion(worker, &completion, now);
         let mut incarnation = 0;
         if let Some(worker) = self.workers.get_mut(worker) {
-            worker.pending_acks.push_back((completion.number, batch));
+            let number = completion.number;
+            worker.pending_acks.push_back(PendingAck { number, batch, held_until });
             incarnation = worker.info.incarnation;
         }
         event!(
@@ -32,7 +35,8 @@
             how = format!("{:?}", completion.outcome).to_lowercase(),
             number = completion.number,
             born = incarnation,
-            batch = batch
+            batch = batch,
+            held = held_until.saturating_sub(now.mono)
         );
     }
 
--- a/crates/lead/src/crashes.rs
+++ b/crates/lead/src/crashes.rs
@@ -26,6 +26,7 @@
         let ids: Vec<Name> =
             self.workers.values().filter(replaced).map(|worker| worker.info.id.clone()).collect();
         for id in ids {
+            self.forget_starts_in_doubt(&id);
             let crash = self.note_crash(&id, return_time(info.incarnation, now));
             let Some(worker) = self.workers.get_mut(&id) else { continue };
             let runs = worker.runs.iter_mut();
--- /dev/null
+++ b/crates/lead/src/doubt.rs
@@ -0,0 +1,266 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use base::{Millis, Name, Now, event};
+use job::{StartInDoubt, TaskId};
+use port::{Completion, Outcome, Start};
+
+use crate::{Lead, Run, RunState, Worker, worker::MAX_COMMAND_DELAY};
+
+/// Start commands without a reply, by task. Each may be carried out once, until it is too old to
+/// arrive: by the incarnation of the worker that it was sent to, unless that has seen a higher token, or
+/// by a later one before its first request with a higher token. So the task may not run on another
+/// worker until then, and its completion may not be acknowledged.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct StartsInDoubt {
+    by_task: BTreeMap<TaskId, Vec<LateStart>>,
+}
+
+/// A start command that may still arrive.
+#[derive(Debug, Clone)]
+struct LateStart {
+    worker: Name,
+    run: u64,
+    /// When it is too old to arrive.
+    arrives_by: Millis,
+}
+
+impl StartsInDoubt {
+    /// Adds a start that was sent at `sent`.
+    fn add(&mut self, worker: &Name, task: &TaskId, run: u64, sent: Millis) {
+        let arrives_by = sent + MAX_COMMAND_DELAY;
+        let start = LateStart { worker: worker.clone(), run, arrives_by };
+        self.by_task.entry(task.clone()).or_default().push(start);
+    }
+
+    /// Removes a start that a worker has carried out.
+    fn carried_out(&mut self, worker: &Name, task: &TaskId, run: u64) -> bool {
+        let Some(starts) = self.by_task.get_mut(task) else { return false };
+        let known = starts.len();
+        starts.retain(|start| start.run != run || start.worker != *worker);
+        let removed = starts.len() < known;
+        if starts.is_empty() {
+            self.by_task.remove(task);
+        }
+        removed
+    }
+
+    /// Removes the starts that are too old to arrive. Returns their workers.
+    fn expire(&mut self, now: Millis) -> BTreeSet<Name> {
+        let mut workers = BTreeSet::new();
+        self.by_task.retain(|_, starts| {
+            starts.retain(|start| {
+                let late = now < start.arrives_by;
+                if !late {
+                    workers.insert(start.worker.clone());
+                }
+                late
+            });
+            !starts.is_empty()
+        });
+        workers
+    }
+
+    /// Removes the starts of a worker.
+    fn clear(&mut self, worker: &Name) {
+        self.by_task.retain(|_, starts| {
+            starts.retain(|start| start.worker != *worker);
+            !starts.is_empty()
+        });
+    }
+
+    /// Returns the worker that the newest start of a task was sent to.
+    fn worker(&self, task: &TaskId) -> Option<&Name> {
+        self.by_task.get(task)?.last().map(|start| &start.worker)
+    }
+
+    /// Returns when all starts of a task are too old to arrive; 0 if there are none.
+    fn end(&self, task: &TaskId) -> Millis {
+        let starts = self.by_task.get(task).into_iter().flatten();
+        starts.map(|start| start.arrives_by).max().unwrap_or(0)
+    }
+
+    /// Returns the starts of a worker, for its record.
+    pub(crate) fn of_worker(&self, worker: &Name) -> Vec<StartInDoubt> {
+        let starts = self.by_task.iter().flat_map(|(task, starts)| {
+            let own = starts.iter().filter(|start| start.worker == *worker);
+            own.map(|start| StartInDoubt { task: task.clone(), run: start.run })
+        });
+        starts.collect()
+    }
+}
+
+impl Lead {
+    /// Handles a start without a reply. It is in doubt unless a list has shown its run since.
+    pub(crate) fn note_start_in_doubt(&mut self, worker: &Name, start: &Start, now: Now) {
+        let (id, run_id) = (&start.task, start.run);
+        let Some(job) = self.jobs.get(&id.job) else { return };
+        // Copies of a task may run side by side.
+        if job.step(id).is_none_or(|step| step.speculative) {
+            return;
+        }
+        let run = self.workers.get(worker).and_then(|worker| worker.runs.get(id));
+        let run = run.filter(|run| run.run_id == run_id);
+        let sent = match run {
+            Some(run) if run.incarnation.is_some() && !run.resent => return,
+            Some(run) => run.started_at,
+            None => {
+                let task = job.task(id).filter(|task| !task.done && !job.is_terminal());
+                if task.is_none_or(|task| task.failed_runs.contains(&run_id)) {
+                    return;
+                }
+                now.mono
+            }
+        };
+        self.starts_in_doubt.add(worker, id, run_id, sent);
+        self.record_starts_in_doubt(worker);
+    }
+
+    /// Handles a run that a worker has listed, as running or as ended. If it was sent one start for
+    /// it, that one can't arrive any more.
+    pub(crate) fn note_carried_out(&mut self, name: &Name, id: &TaskId, run_id: u64) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        let run = worker.runs.get(id).filter(|run| run.run_id == run_id && !run.resent);
+        if run.is_none() || !self.starts_in_doubt.carried_out(name, id, run_id) {
+            return;
+        }
+        worker.unconfirmed_starts.retain(|(task, run, _)| (task, *run) != (id, run_id));
+        self.record_starts_in_doubt(name);
+    }
+
+    /// Handles a worker that another one has replaced at its address, which refuses what was meant for
+    /// it.
+    pub(crate) fn forget_starts_in_doubt(&mut self, worker: &Name) {
+        self.starts_in_doubt.clear(worker);
+        self.record_starts_in_doubt(worker);
+    }
+
+    /// Forgets the starts that are too old to arrive.
+    pub(crate) fn expire_starts_in_doubt(&mut self, now: Now) {
+        for worker in self.starts_in_doubt.expire(now.mono) {
+            self.record_starts_in_doubt(&worker);
+        }
+    }
+
+    /// Records a worker's starts in doubt for the next leader.
+    fn record_starts_in_doubt(&mut self, name: &Name) {
+        let recorded = |worker: &Worker| worker.record_batch.is_some() || worker.closed;
+        if self.workers.get(name).is_some_and(recorded) {
+            self.journal.add_worker(name);
+        }
+    }
+
+    /// Takes up the starts that were in doubt under an earlier leader. When they were sent is not
+    /// known.
+    pub(crate) fn restore_starts_in_doubt(
+        &mut self,
+        worker: &Name,
+        starts: &[StartInDoubt],
+        now: Now,
+    ) {
+        for StartInDoubt { task, run } in starts {
+            self.starts_in_doubt.add(worker, task, *run, now.mono);
+            if let Some(worker) = self.workers.get_mut(worker) {
+                worker.unconfirmed_starts.push((task.clone(), *run, now.mono));
+            }
+        }
+    }
+
+    /// Returns the worker on which a task has to stay, since a start sent to it may still arrive. One
+    /// that is leaving has no further incarnation.
+    pub(crate) fn bound_worker(&self, id: &TaskId) -> Option<&Name> {
+        let name = self.starts_in_doubt.worker(id)?;
+        let leaving = |worker: &Worker| worker.info.draining || worker.leaving;
+        (!self.workers.get(name).is_some_and(leaving)).then_some(name)
+    }
+
+    /// Whether a task, or a member of its gang, has to stay on a worker.
+    pub(crate) fn is_bound(&self, id: &TaskId) -> bool {
+        self.with_gang(id).iter().any(|member| self.bound_worker(member).is_some())
+    }
+
+    /// Returns a task, or all members of its gang.
+    fn with_gang(&self, id: &TaskId) -> Vec<TaskId> {
+        let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
+        let gang = step.filter(|step| step.gang).map(|step| step.count);
+        let indexes = gang.map_or(id.index..id.index + 1, |count| 0..count);
+        indexes.map(|index| TaskId { index, ..id.clone() }).collect()
+    }
+
+    /// Returns the worker on which a task that has to stay on one may start now, if any.
+    pub(crate) fn find_bound(&mut self, id: &TaskId, now: Now) -> Option<Name> {
+        let bound = self.bound_worker(id)?.clone();
+        let task = self.jobs.get(&id.job).and_then(|job| job.task(id))?;
+        // Where it has failed, it waits until it may start elsewhere.
+        if !task.failed_runs.is_empty() && task.avoid.as_ref() == Some(&bound) {
+            return None;
+        }
+        if self.needs_ticket(id) {
+            self.request_ticket(id, now);
+        }
+        self.may_start_on(id, &bound, now).then_some(bound)
+    }
+
+    /// Returns until when a completion may not be acknowledged: a start of its task, or of a member of
+    /// its gang, could begin the task again.
+    pub(crate) fn held_until(&self, completion: &Completion) -> Millis {
+        if !matches!(completion.outcome, Outcome::Done | Outcome::Failed) {
+            return 0;
+        }
+        let id = &completion.task;
+        let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
+        if step.is_none_or(|step| step.long_running) {
+            return 0;
+        }
+        let ends = self.with_gang(id).into_iter().map(|member| self.starts_in_doubt.end(&member));
+        ends.max().unwrap_or(0)
+    }
+
+    /// Follows up on a start without a reply, once the worker has listed its runs since. It is sent
+    /// again where the worker may take it; otherwise, and where it may have crashed the worker, the run
+    /// is stopped.
+    pub(crate) fn retry_start(&mut self, name: &Name, id: &TaskId, now: Now) {
+        let Some(worker) = self.workers.get(name) else { return };
+        let Some(run) = worker.runs.get(id) else { return };
+        let wanted = self
+            .jobs
+            .get(&id.job)
+            .is_some_and(|job| !job.is_terminal() && job.task(id).is_some_and(|task| !task.done));
+        let suits = self.requirements(id).is_some_and(|req| {
+            req.matches(worker) && (!req.needs_ticket || self.ticket(id, name, now).is_some())
+        });
+        let takes = suits && worker.is_offered(now.mono) && !worker.over_size();
+        if run.given_up || run.crash.is_some() || !wanted || !takes {
+            return self.give_up_start(name, id);
+        }
+        if !worker.usable(self.journal.stored, now.mono) {
+            return;
+        }
+        let (run_id, checkpoint) = (run.run_id, run.checkpoint.clone());
+        event!("start_again", task = id, worker = name, run = run_id);
+        metrics::counter!("starts_again").increment(1);
+        if let Some(run) = self.workers.get_mut(name).and_then(|worker| worker.runs.get_mut(id)) {
+            run.send_again(now.mono);
+        }
+        self.send_start(id, name, run_id, checkpoint, now);
+    }
+}
+
+impl Lead {
+    /// Stops a run of which the start has no reply.
+    fn give_up_start(&mut self, name: &Name, id: &TaskId) {
+        if let Some(run) = self.workers.get_mut(name).and_then(|worker| worker.runs.get_mut(id)) {
+            run.given_up = true;
+        }
+        self.send_stop(name, id);
+    }
+}
+
+impl Run {
+    /// Notes that the start command is sent again.
+    fn send_again(&mut self, now: Millis) {
+        self.state = RunState::Starting;
+        self.resent = true;
+        self.in_flight = true;
+        self.started_at = now;
+    }
+}
--- a/crates/lead/src/isolation.rs
+++ b/crates/lead/src/isolation.rs
@@ -213,6 +213,9 @@
             let Some(job) = self.jobs.get(&id.job) else { return false };
             let Some(task) = job.task(id) else { return false };
             let copied = job.step(id).is_some_and(|step| step.speculative);
+            if self.is_bound(id) {
+                return false;
+            }
             task.queued || (copied && task.crashes.is_empty() && task.workers.len() == 1)
         };
         let mut waiting: Vec<TaskId> = self.suspects.iter().filter(waits).cloned().collect();
--- a/crates/lead/src/journal.rs
+++ b/crates/lead/src/journal.rs
@@ -236,6 +236,7 @@
                 addr: worker.info.addr,
                 incarnation: worker.info.incarnation,
                 long_leases: worker.long_leases,
+                starts_in_doubt: self.starts_in_doubt.of_worker(&id),
                 last_runs: worker.closed.then(|| worker.last_runs()),
             };
             batch.records.push(record(WORKER, &id, &worker_record));
--- a/crates/lead/src/lead.rs
+++ b/crates/lead/src/lead.rs
@@ -10,6 +10,7 @@
 use crate::{
     Worker,
     audit::Phases,
+    doubt::StartsInDoubt,
     evidence::Return,
     interference::InterferenceModel,
     journal::Journal,
@@ -177,6 +178,8 @@
     pub(crate) planned: BTreeMap<TaskId, Name>,
     /// Crashes of workers that came back recently.
     pub(crate) returns: Vec<Return>,
+    /// Start commands without a reply.
+    pub(crate) starts_in_doubt: StartsInDoubt,
     /// Phases of the tasks at the last audit.
     pub(crate) phases: Phases,
 }
@@ -229,6 +232,7 @@
             isolated: BTreeSet::new(),
             planned: BTreeMap::new(),
             returns: Vec::new(),
+            starts_in_doubt: StartsInDoubt::default(),
             phases: Phases::new(),
         };
         lead.restore(items, now);
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -6,6 +6,7 @@
 mod commands;
 mod completions;
 mod crashes;
+mod doubt;
 mod evidence;
 mod gang;
 mod interference;
--- a/crates/lead/src/place.rs
+++ b/crates/lead/src/place.rs
@@ -85,6 +85,16 @@
                 }
                 continue;
             }
+            if self.bound_worker(&id).is_some() {
+                match self.find_bound(&id, now) {
+                    Some(worker) => {
+                        self.start_task(&id, &worker, now);
+                        pass.starts += 1;
+                    }
+                    None => left.push(id),
+                }
+                continue;
+            }
             let alike = self.alike(&id);
             if full.contains(&alike) {
                 left.push(id);
@@ -174,28 +184,27 @@
         checkpoint: Name,
         now: Now,
     ) {
-        let (epoch, lease) = (self.epoch, self.bounds.lease);
-        let ticket = self.ticket(id, name, now).unwrap_or_default();
+        let epoch = self.epoch;
         let waited = self.waited(&id.step_id(), now);
         let suspect = self.suspects.contains(id);
         let alone = suspect && self.starts_alone(id, now);
         let Some(job) = self.jobs.get_mut(&id.job) else { return };
         let Some(step) = job.step(id).cloned() else { return };
-        let text = job.spec.text.clone();
         let Some(task) = job.task_mut(id) else { return };
         task.queued = false;
         task.workers.push(name.clone());
         self.search_cursor = name.clone();
         self.reservations.remove(name);
         let Some(worker) = self.workers.get_mut(name) else { return };
-        let token = worker.token(epoch);
-        let clock = worker.clock_now(now.mono).unwrap_or(0);
-        let deadline = clock + lease;
-        worker.lease_expiry = worker.lease_expiry.max(deadline);
-        worker.add(id.clone(), Run { suspect, alone, ..Run::starting(run_id, &step, now.mono) });
-        let start =
-            Start { task: id.clone(), run: run_id, text, deadline, token, checkpoint, ticket };
-        self.commands.push(Command::Start(worker.addr(), start));
+        let run = Run {
+            suspect,
+            alone,
+            checkpoint: checkpoint.clone(),
+            ..Run::starting(run_id, &step, now.mono)
+        };
+        worker.add(id.clone(), run);
+        self.send_start(id, name, run_id, checkpoint, now);
+        let Some(worker) = self.workers.get(name) else { return };
         if !self.settled {
             metrics::counter!("starts_unsettled").increment(1);
         }
@@ -217,4 +226,23 @@
             settled = self.settled
         );
     }
+    /// Issues the start command for a run.
+    pub(crate) fn send_start(
+        &mut self,
+        id: &TaskId,
+        name: &Name,
+        run: u64,
+        checkpoint: Name,
+        now: Now,
+    ) {
+        let (epoch, lease) = (self.epoch, self.bounds.lease);
+        let ticket = self.ticket(id, name, now).unwrap_or_default();
+        let text = self.jobs.get(&id.job).map(|job| job.spec.text.clone()).unwrap_or_default();
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        let token = worker.token(epoch);
+        let deadline = worker.clock_now(now.mono).unwrap_or(0) + lease;
+        worker.lease_expiry = worker.lease_expiry.max(deadline);
+        let start = Start { task: id.clone(), run, text, deadline, token, checkpoint, ticket };
+        self.commands.push(Command::Start(worker.addr(), start));
+    }
 }
--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -5,7 +5,10 @@
 use port::{Item, Poll, PollReply, Refusal, RunStatus, WorkerAddr, WorkerError, WorkerInfo};
 use relay::{PollTimes, Received, RelayedWorker};
 
-use crate::{Command, Lead, Run, RunState, Worker, worker::expiry};
+use crate::{
+    Command, Lead, Run, RunState, Worker,
+    worker::{MAX_LISTED_COMPLETIONS, PendingAck, expiry},
+};
 
 /// Longest time for which a worker delays its reply while no run completes.
 const LIST_WAIT: Millis = 1_000;
@@ -18,8 +21,6 @@
 const RELAY_CLOCK_MARGIN: Millis = 250;
 /// Amount by which a worker's start may seem to be in the future, since clocks differ.
 const MAX_CLOCK_DIFFERENCE: Millis = 3_600_000;
-/// Most completions that a worker lists in one reply.
-const MAX_LISTED_COMPLETIONS: usize = 500;
 
 impl Lead {
     /// Handles records of the list of workers in the store. If the list is complete, workers
@@ -141,7 +142,7 @@
         let epoch = self.epoch;
         let worker = self.workers.get_mut(id)?;
         let token = worker.token(epoch);
-        worker.advance_acks(stored);
+        worker.advance_acks(stored, now.mono);
         // Leases must be left to expire while a worker is silent: each renewal that it may
         // have received puts off the time from which its runs can be dropped.
         let renew = renew && worker.synced && now.mono < worker.replied_at + MAX_RENEW_SILENCE;
@@ -154,10 +155,10 @@
     }
 
     /// Returns a worker as its relay has to know it; `None` if the worker is unknown.
-    pub fn relayed_worker(&mut self, id: &Name) -> Option<RelayedWorker> {
+    pub fn relayed_worker(&mut self, id: &Name, now: Millis) -> Option<RelayedWorker> {
         let (stored, epoch) = (self.journal.stored, self.epoch);
         let worker = self.workers.get_mut(id)?;
-        worker.advance_acks(stored);
+        worker.advance_acks(stored, now);
         Some(RelayedWorker {
             worker: worker.poll_addr(),
             token: worker.token(epoch),
@@ -170,12 +171,12 @@
 
     /// Returns the workers with a relay that may have changed since the last call, `None` for
     /// one that no longer exists.
-    pub fn take_touched(&mut self) -> Vec<(Name, Option<RelayedWorker>)> {
+    pub fn take_touched(&mut self, now: Millis) -> Vec<(Name, Option<RelayedWorker>)> {
         let touched = std::mem::take(&mut self.touched);
         let mut changes = Vec::new();
         for id in touched {
-            let state = self.relayed_worker(&id);
-            // Completions become durable later.
+            let state = self.relayed_worker(&id, now);
+            // Completions can be acknowledged later.
             if self.workers.get(&id).is_some_and(|worker| !worker.pending_acks.is_empty()) {
                 self.touched.insert(id.clone());
             }
@@ -228,7 +229,13 @@
     pub fn unacked(&self, id: &Name) -> bool {
         let stored = self.journal.stored;
         let newest = self.workers.get(id).and_then(|worker| worker.pending_acks.back());
-        newest.is_some_and(|(_, batch)| *batch > stored)
+        newest.is_some_and(|ack| ack.batch > stored)
+    }
+
+    /// Returns whether completions of a worker may not be acknowledged for some time, so that it
+    /// replies at once.
+    pub fn holds_acks(&self, id: &Name, now: Millis) -> bool {
+        self.workers.get(id).is_some_and(|worker| worker.holds_acks(now))
     }
 
     /// Handles the runs and completions listed by a worker, in reply to a request sent at `sent`
@@ -338,8 +345,9 @@
 
     /// Handles a run listed by an incarnation of a worker.
     fn on_running(&mut self, id: &Name, row: RunStatus, incarnation: Option<u64>, now: Now) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
         let (task, run_id) = (row.task.clone(), row.run);
+        self.note_carried_out(id, &task, run_id);
+        let Some(worker) = self.workers.get_mut(id) else { return };
         let known = worker.runs.get(&row.task).map(|run| run.run_id);
         match known {
             Some(run_id) if run_id == row.run => self.update_run(id, row, now),
@@ -459,11 +467,11 @@
 }
 
 impl Worker {
-    /// Acknowledges the completions that have become durable.
-    fn advance_acks(&mut self, stored: u64) {
-        while let Some((number, _)) = self.pending_acks.pop_front_if(|(_, batch)| *batch <= stored)
-        {
-            self.acked = self.acked.max(number);
+    /// Acknowledges the completions that have become durable and whose tasks can't start again.
+    fn advance_acks(&mut self, stored: u64, now: Millis) {
+        let due = |ack: &mut PendingAck| ack.batch <= stored && ack.held_until <= now;
+        while let Some(ack) = self.pending_acks.pop_front_if(due) {
+            self.acked = self.acked.max(ack.number);
         }
     }
 
--- a/crates/lead/src/restore.rs
+++ b/crates/lead/src/restore.rs
@@ -30,7 +30,7 @@
                     }
                 }
                 RecordKey::Worker(id) => {
-                    let runs = self.restore_worker(id, item);
+                    let runs = self.restore_worker(id, item, now);
                     last_runs.extend(runs.map(|runs| (Name::from(id), runs)));
                 }
                 RecordKey::ServiceModel(image) => decode_into(&mut models, image, item),
@@ -109,7 +109,7 @@
     /// Adds a worker that may have runs of an earlier leader. It gets no work until it has
     /// listed its runs; the remaining fields are set once its own record in the store is read.
     /// Returns its last runs, if the record has them.
-    fn restore_worker(&mut self, id: &str, item: &Item) -> Option<Vec<LastRun>> {
+    fn restore_worker(&mut self, id: &str, item: &Item, now: Now) -> Option<Vec<LastRun>> {
         let Ok(record) = postcard::from_bytes::<WorkerRecord>(&item.value) else {
             log::warn!("event=record_skipped key={} reason=malformed", item.key);
             return None;
@@ -133,6 +133,7 @@
             worker.earlier_leases_end = self.long_leases_end;
         }
         self.workers.insert(id.into(), worker);
+        self.restore_starts_in_doubt(&id.into(), &record.starts_in_doubt, now);
         record.last_runs
     }
 }
--- a/crates/lead/src/run.rs
+++ b/crates/lead/src/run.rs
@@ -54,6 +54,12 @@
     pub retry_at: Millis,
     /// Whether a command for the run awaits its reply.
     pub in_flight: bool,
+    /// Checkpoint that it resumes from; empty if there is none.
+    pub(crate) checkpoint: Name,
+    /// Whether its start command was sent more than once.
+    pub(crate) resent: bool,
+    /// Whether a stop was sent since the start command got no reply, which is not sent again then.
+    pub(crate) given_up: bool,
     /// Number of stop commands that await their replies.
     pub(crate) stops_sent: u32,
     /// How many of these were sent before the worker's last restart, so that an earlier incarnation
@@ -94,6 +100,9 @@
             crash: None,
             retry_at: 0,
             in_flight: true,
+            checkpoint: "".into(),
+            resent: false,
+            given_up: false,
             stops_sent: 0,
             stops_outdated: 0,
             percent: 0,
--- a/crates/lead/src/search.rs
+++ b/crates/lead/src/search.rs
@@ -189,8 +189,9 @@
             && req.accepts(worker)
             && !worker.is_saturated();
         let ticket = || !req.needs_ticket || self.ticket(id, &worker.info.id, now).is_some();
+        let elsewhere = self.bound_worker(id).is_some_and(|bound| *bound != worker.info.id);
         let reserved = self.reserved(&worker.info.id, id, now);
-        if !usable || reserved || !self.may_share(id, worker, now) || !ticket() {
+        if !usable || elsewhere || reserved || !self.may_share(id, worker, now) || !ticket() {
             return None;
         }
         let interference = |service_image: &Name| match losses.get(service_image) {
--- a/crates/lead/src/watch.rs
+++ b/crates/lead/src/watch.rs
@@ -13,9 +13,10 @@
 impl Lead {
     /// Follows up on unconfirmed commands, expired leases, and draining and vanished workers.
     pub(crate) fn check_workers(&mut self, now: Now, unclaimed_at: Millis) {
+        self.expire_starts_in_doubt(now);
         let ids: Vec<Name> = self.workers.keys().cloned().collect();
         for id in ids {
-            self.retry_stops(&id, now);
+            self.retry_commands(&id, now);
             self.expire(&id, now, unclaimed_at);
             self.record_long_leases(&id, now);
             self.drain(&id);
@@ -24,8 +25,8 @@
         }
     }
 
-    /// Sends stop commands for runs whose start or stop is unconfirmed.
-    fn retry_stops(&mut self, id: &Name, now: Now) {
+    /// Follows up on runs whose start or stop is unconfirmed.
+    fn retry_commands(&mut self, id: &Name, now: Now) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.unconfirmed_starts.retain(|(_, _, at)| now.mono < at + MAX_COMMAND_DELAY);
         let due = worker.runs.iter().filter(|(_, run)| !run.in_flight && run.retry_at <= now.mono);
@@ -34,9 +35,13 @@
             RunState::Stopping => run.confirmed_at == 0,
             _ => false,
         });
-        let tasks: Vec<TaskId> = unconfirmed.map(|(task, _)| task.clone()).collect();
-        for task in tasks {
-            self.send_stop(id, &task);
+        let runs: Vec<(TaskId, RunState)> =
+            unconfirmed.map(|(task, run)| (task.clone(), run.state)).collect();
+        for (task, state) in runs {
+            match state {
+                RunState::Unconfirmed => self.retry_start(id, &task, now),
+                _ => self.send_stop(id, &task),
+            }
         }
     }
 
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -25,12 +25,25 @@
 pub(crate) const MAX_SILENCE: Millis = 2_000;
 /// Longest time from a command to its reply.
 pub(crate) const MAX_REPLY_TIME: Millis = 1_000;
+/// Most completions that a worker lists in one reply.
+pub(crate) const MAX_LISTED_COMPLETIONS: usize = 500;
 /// Most start commands without a reply to one worker, well within the connections that it accepts: a
 /// command that waits for one is in doubt after its timeout.
 const MAX_UNANSWERED_STARTS: usize = 32;
 /// Amount by which a reading of the worker clock may be off the estimate beyond that.
 const CLOCK_TOLERANCE: Millis = 400;
 
+/// A listed completion that has not been acknowledged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PendingAck {
+    /// Number of the completion.
+    pub number: u64,
+    /// Journal batch that has to be durable first.
+    pub batch: u64,
+    /// Until when a start in doubt could begin its task again; 0 if there is none.
+    pub held_until: Millis,
+}
+
 /// A worker as the leader sees it. Times are on the leader's monotonic clock, unless
 /// they are said to be on the worker's.
 #[derive(Debug, Clone)]
@@ -99,9 +112,8 @@
     pub(crate) raises: u64,
     /// Number of the last completion processed; completions are numbered in ascending order.
     pub last_completion: u64,
-    /// Numbers of completions to acknowledge, each with the batch that has to be
-    /// durable first.
-    pub pending_acks: VecDeque<(u64, u64)>,
+    /// Completions to acknowledge.
+    pub pending_acks: VecDeque<PendingAck>,
     /// Highest number of a completion that the worker may forget.
     pub acked: u64,
     /// Since when it may have restarted without the leader's knowledge, so that numbers of
@@ -228,6 +240,7 @@
             && self.is_offered(now)
             && self.record_batch.is_some_and(|batch| batch <= stored)
             && self.paused_until <= now
+            && !self.lists_too_much(now)
             && now < self.replied_at + MAX_SILENCE
     }
 
@@ -237,6 +250,17 @@
         (self.listed || relists) && !self.info.draining
     }
 
+    /// Returns whether the completions that may not be acknowledged yet could soon keep others from
+    /// being listed.
+    fn lists_too_much(&self, now: Millis) -> bool {
+        self.holds_acks(now) && self.runs.len() + self.pending_acks.len() >= MAX_LISTED_COMPLETIONS
+    }
+
+    /// Returns whether completions may not be acknowledged yet although they are durable.
+    pub(crate) fn holds_acks(&self, now: Millis) -> bool {
+        self.pending_acks.iter().any(|ack| ack.held_until > now)
+    }
+
     /// Returns whether so many start commands to the worker have no reply that it gets no further ones.
     pub(crate) fn is_saturated(&self) -> bool {
         let starting = |run: &&Run| run.state == RunState::Starting;
--- a/crates/lead/tests/decisions.rs
+++ b/crates/lead/tests/decisions.rs
@@ -210,12 +210,14 @@
     assert_eq!(fleet.lead.state("a"), Some(State::Failed));
 }
 
+/// A worker that is leaving gets no start again, nor has it a further incarnation.
 #[test]
 fn an_unconfirmed_start_is_stopped_before_the_task_runs_elsewhere() {
     let mut fleet = Fleet::open(2);
     fleet.accept("a", spec(step(1, 100)));
     let start = fleet.starts().remove(0);
     fleet.reply_start(&start, Err(WorkerError::InDoubt("timeout".into())));
+    fleet.drain(&start.0);
     fleet.advance(600);
     let commands = fleet.commands();
     let stops = commands.iter().filter(|command| matches!(command, Command::Stop(..))).count();
--- a/crates/lead/tests/doubt.rs
+++ b/crates/lead/tests/doubt.rs
@@ -8,9 +8,9 @@
 
 use base::{Millis, Size};
 use fleet::{Fleet, Sent, info};
-use job::{Spec, Step};
+use job::{Spec, State, Step};
 use lead::Command;
-use port::{Poll, WorkerError};
+use port::{Outcome, Poll, Refusal, Start, WorkerError, WorkerInfo};
 use world::FakeWorker;
 
 fn step() -> Step {
@@ -109,6 +109,216 @@
     assert!(worker.has_lapsed(at), "the first run goes on");
 }
 
+/// Returns the starts that the fleet issues within `ms`, while each worker but `silent` lists what it
+/// has.
+fn starts_within(fleet: &mut Fleet, ms: Millis, silent: Option<&str>) -> Vec<Sent> {
+    let mut starts = Vec::new();
+    let end = fleet.now() + ms;
+    while fleet.now() < end {
+        fleet.advance(50);
+        for id in ["w0", "w1"] {
+            match silent == Some(id) {
+                true => fleet.fail_poll(id),
+                false => fleet.list_known(id),
+            }
+        }
+        fleet.store();
+        starts.extend(fleet.starts());
+    }
+    starts
+}
+
+fn in_doubt<T>() -> Result<T, WorkerError> {
+    Err(WorkerError::InDoubt("timeout".into()))
+}
+
+/// Returns a fleet of two workers with a start that got no reply.
+fn fleet_with_doubt(step: Step) -> (Fleet, Sent) {
+    let mut fleet = Fleet::open(2);
+    fleet.accept("a", Spec { text: "t".into(), steps: vec![step], repeat: None });
+    let sent = fleet.starts().remove(0);
+    fleet.advance(700);
+    fleet.reply_start(&sent, in_doubt());
+    (fleet, sent)
+}
+
+/// Guards against a done task that runs again, and against one that waits for the time in which a
+/// command may be late: a start without a reply was stopped, and the task started elsewhere, while
+/// the next incarnation of the worker could still carry out the first start.
+#[test]
+fn a_start_in_doubt_is_sent_again_as_the_same_run_to_the_same_worker() {
+    let (mut fleet, sent) = fleet_with_doubt(step());
+    assert!(fleet.starts().is_empty(), "its next list tells first");
+    fleet.advance(10);
+    fleet.list(&sent.0, &[], &[]);
+    let again = fleet.starts();
+    assert_eq!(again.len(), 1);
+    assert_eq!((&again[0].0, again[0].1.run), (&sent.0, sent.1.run));
+    assert!(again[0].1.token > sent.1.token);
+    fleet.reply_start(&again[0], Ok(1));
+    assert!(starts_within(&mut fleet, 1_000, None).is_empty(), "it runs");
+}
+
+/// Guards against a run that is taken for lost: its first start was carried out, and the second one
+/// refused since it had ended.
+#[test]
+fn a_refusal_of_the_second_start_means_that_the_first_was_carried_out() {
+    let (mut fleet, sent) = fleet_with_doubt(step());
+    fleet.advance(10);
+    fleet.list(&sent.0, &[], &[]);
+    let again = fleet.starts().remove(0);
+    fleet.reply_start(&again, Err(WorkerError::Refused(Refusal::Old, Some(fleet.now()))));
+    assert!(fleet.starts().is_empty(), "the next list has its end");
+    fleet.advance(10);
+    fleet.list(&sent.0, &[], &[(1, &sent.1, Outcome::Done)]);
+    fleet.store();
+    assert_eq!(fleet.lead.state("a"), Some(State::Completed));
+    assert!(fleet.starts().is_empty());
+}
+
+/// Guards against two runs of a task: its worker was lost, and the task started elsewhere, while the
+/// worker's next incarnation could still carry out a start in doubt.
+#[test]
+fn a_task_stays_on_its_worker_while_a_start_in_doubt_may_arrive() {
+    struct Case {
+        name: &'static str,
+        /// Whether the start is sent again and confirmed before the worker is lost.
+        resent: bool,
+        /// Whether the next leader has taken over by then.
+        taken_over: bool,
+    }
+    let cases = [
+        Case { name: "in doubt", resent: false, taken_over: false },
+        Case { name: "sent again", resent: true, taken_over: false },
+        Case { name: "sent again, by the next leader", resent: true, taken_over: true },
+    ];
+    for case in cases {
+        let (mut fleet, sent) = fleet_with_doubt(step());
+        let sent_at = fleet.now() - 700;
+        if case.resent {
+            fleet.advance(10);
+            fleet.list(&sent.0, &[], &[]);
+            let again = fleet.starts().remove(0);
+            fleet.reply_start(&again, Ok(1));
+        }
+        fleet.store();
+        if case.taken_over {
+            fleet.take_over();
+            for id in ["w0", "w1"] {
+                fleet.lead.on_worker_info(info(id), fleet.time());
+            }
+            fleet.list(other(&sent), &[], &[]);
+            fleet.store();
+        }
+        let until = sent_at + 12_000 - fleet.now();
+        let starts = starts_within(&mut fleet, until, Some(&sent.0));
+        assert!(starts.is_empty(), "{}: {starts:?}", case.name);
+        let starts = starts_within(&mut fleet, 8_000, Some(&sent.0));
+        assert_eq!(starts.len(), 1, "{}: it has waited for long enough", case.name);
+    }
+}
+
+/// Guards against a task that waits for a worker of which no incarnation can come: another worker has its
+/// address and refuses what was meant for it.
+#[test]
+fn a_task_does_not_stay_on_a_worker_that_was_replaced() {
+    let (mut fleet, sent) = fleet_with_doubt(step());
+    let sent_at = fleet.now() - 700;
+    let replaced = info(&sent.0);
+    let other = WorkerInfo { id: "w2".into(), incarnation: 2, ..replaced };
+    fleet.lead.on_worker_info(other, fleet.time());
+    fleet.unlist(&sent.0);
+    let starts = starts_within(&mut fleet, 8_000, Some(&sent.0));
+    assert_eq!(starts.len(), 1, "{starts:?}");
+    assert!(fleet.now() < sent_at + 10_000);
+}
+
+/// Guards against a start after a noted end: the end of a task was acknowledged, and its worker's next
+/// incarnation carried out a start in doubt.
+#[test]
+fn an_end_is_not_acknowledged_while_a_start_of_its_task_may_arrive() {
+    struct Case {
+        name: &'static str,
+        step: Step,
+        outcome: Outcome,
+        /// Whether the start is sent again, so that the first one may still arrive.
+        resent: bool,
+        taken_over: bool,
+        held: bool,
+    }
+    let case = Case {
+        name: "done",
+        step: step(),
+        outcome: Outcome::Done,
+        resent: true,
+        taken_over: false,
+        held: true,
+    };
+    let cases = [
+        Case { step: step(), ..case },
+        Case { name: "failed", outcome: Outcome::Failed, step: step(), ..case },
+        Case { name: "done, then a takeover", taken_over: true, step: step(), ..case },
+        Case { name: "lapsed", outcome: Outcome::Lapsed, held: false, step: step(), ..case },
+        Case { name: "carried out, the reply lost", resent: false, held: false, ..case },
+    ];
+    for case in cases {
+        let (mut fleet, sent) = fleet_with_doubt(case.step);
+        let sent_at = fleet.now() - 700;
+        fleet.advance(10);
+        if case.resent {
+            fleet.list(&sent.0, &[], &[]);
+            let again = fleet.starts().remove(0);
+            fleet.reply_start(&again, Ok(1));
+            fleet.advance(10);
+        } else {
+            fleet.list(&sent.0, &[(&sent.1, 0)], &[]);
+        }
+        let ends = [(1, &sent.1, case.outcome)];
+        fleet.list(&sent.0, &[], &ends);
+        fleet.store();
+        if case.taken_over {
+            fleet.take_over();
+            fleet.meet_all();
+            fleet.list(&sent.0, &[], &ends);
+            fleet.store();
+        }
+        let acked = fleet.poll(&sent.0).acked;
+        assert_eq!(acked, u64::from(!case.held), "{}", case.name);
+        fleet.advance(sent_at + 12_000 - fleet.now());
+        fleet.list(&sent.0, &[], &ends);
+        assert_eq!(fleet.poll(&sent.0).acked, acked, "{}: 12 s later", case.name);
+        fleet.advance(3_000);
+        fleet.list(&sent.0, &[], &ends);
+        assert_eq!(fleet.poll(&sent.0).acked, 1, "{}: too old to arrive", case.name);
+    }
+}
+
+/// Guards against starts in doubt that keep workers from listing ends: no more than a list has are
+/// placed on a worker whose ends may not be acknowledged.
+#[test]
+fn a_worker_gets_no_more_tasks_than_it_can_list_while_ends_wait() {
+    let (mut fleet, sent) = fleet_with_doubt(tiny(1));
+    fleet.advance(10);
+    fleet.list(&sent.0, &[], &[]);
+    let mut here = fleet.start_waiting();
+    assert_eq!(here.len(), 1, "sent again");
+    fleet.accept("b", Spec { text: "t".into(), steps: vec![tiny(700)], repeat: None });
+    here.extend(fleet.start_waiting().into_iter().filter(|(id, _)| *id == sent.0));
+    let ends: Vec<(u64, &Start, Outcome)> =
+        here.iter().zip(1..).map(|((_, start), number)| (number, start, Outcome::Done)).collect();
+    fleet.advance(10);
+    fleet.list(&sent.0, &[], &ends);
+    fleet.accept("c", Spec { text: "t".into(), steps: vec![tiny(1_400)], repeat: None });
+    let more = fleet.start_waiting();
+    let (ended, more) = (ends.len(), more.iter().filter(|(id, _)| *id == sent.0).count());
+    assert!(more > 0 && ended + more <= 500, "{ended} have ended and {more} were started");
+}
+
+/// Returns a step of which a worker can hold hundreds of tasks.
+fn tiny(count: u32) -> Step {
+    Step { count, size: Size { cpu: 4, memory: 1, accel: 0 }, ..step() }
+}
+
 /// Guards against two runs of a task: a poll in doubt had given the worker's next incarnation the
 /// longest lease, and a run there was given up after the lease that the leader had meant.
 #[test]
--- a/crates/lead/tests/schedules.rs
+++ b/crates/lead/tests/schedules.rs
@@ -287,6 +287,29 @@
     },
 ];
 
+/// The same beside other faults.
+const LATE_COMMANDS_BESIDE_FAULTS: &[Case] = &[
+    Case {
+        name: "workers crash and leaders die while commands are late",
+        faults: Faults { crash: 0.4, late_command: 0.15, takeover: 0.15, ..NONE },
+    },
+    Case {
+        name: "workers crash and tasks fail while commands are late",
+        faults: Faults { crash: 0.4, late_command: 0.15, fail: 0.1, ..NONE },
+    },
+    Case {
+        name: "workers are unreachable and restart before it is known while commands are late",
+        faults: Faults {
+            crash: 0.4,
+            record_delay: 1_500,
+            late_command: 0.15,
+            lost_reply: 0.1,
+            unreachable: 0.2,
+            ..NONE
+        },
+    },
+];
+
 /// Guards against a task that runs again after its acknowledged completion: a command that got no
 /// reply is carried out by the next incarnation of the worker.
 #[test]
@@ -309,6 +332,17 @@
     }
 }
 
+/// Guards against the same with a command that reaches the next incarnation before the leader does:
+/// the task had been started elsewhere, or its completion acknowledged, while it could still arrive.
+#[test]
+fn no_task_starts_again_by_late_commands_that_come_first_to_a_restarted_worker() {
+    for case in LATE_COMMANDS.iter().chain(LATE_COMMANDS_BESIDE_FAULTS) {
+        for seed in 1..=100 {
+            assert_sound(case, seed, &play(case, seed, false));
+        }
+    }
+}
+
 /// Schedules in which the next incarnation of a worker may get polls without a reply.
 const LATE_POLLS: &[Case] = &[
     Case {
@@ -319,6 +353,10 @@
         name: "workers restart before it is known and leaders die while polls are late",
         faults: Faults { crash: 0.6, record_delay: 1_500, late_poll: 0.1, takeover: 0.1, ..NONE },
     },
+    Case {
+        name: "workers crash while polls and commands are late",
+        faults: Faults { crash: 0.4, late_poll: 0.06, late_command: 0.06, ..NONE },
+    },
 ];
 
 /// Guards against done tasks that run again: a poll without a reply acknowledged the numbers of a
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -100,7 +100,7 @@
         let unassigned: Vec<(Name, Name)> =
             without.map(|(id, worker)| (id.clone(), worker.info.domain.clone())).collect();
         for (vm, workers) in relay::assign(&unassigned, &helpers(election, dispatcher, now)) {
-            let states = workers.iter().filter_map(|id| lead.relayed_worker(id)).collect();
+            let states = workers.iter().filter_map(|id| lead.relayed_worker(id, now)).collect();
             dispatcher.assign(&vm, states, now);
         }
     }
@@ -129,7 +129,7 @@
 /// Tells the dispatcher what has changed about the workers with a relay.
 fn update_workers(shared: &mut Shared) {
     let (Some(lead), Some(dispatcher)) = (&mut shared.lead, &mut shared.dispatcher) else { return };
-    for (id, state) in lead.take_touched() {
+    for (id, state) in lead.take_touched(now().mono) {
         match state {
             Some(worker) => dispatcher.update(worker),
             None => dispatcher.release(&id),
--- a/crates/node/src/workers.rs
+++ b/crates/node/src/workers.rs
@@ -10,6 +10,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Interval at which the durability of completions is polled.
 pub(crate) const UNACKED_POLL_INTERVAL: Duration = Duration::from_millis(8);
+/// Interval between two polls of a worker of which completions may not be acknowledged yet.
+const HELD_POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Polls after which a worker is contacted even if its completions are not durable.
 const MAX_UNACKED_POLLS: usize = 40;
 
@@ -46,6 +48,9 @@
                 sleep(RETRY_DELAY).await;
             }
             wait_durable(&node, epoch, &id).await;
+            if holds_acks(&node, epoch, &id) {
+                sleep(HELD_POLL_INTERVAL).await;
+            }
         }
         let mut shared = node.shared.borrow_mut();
         if shared.lead_in(epoch).is_some() {
@@ -61,6 +66,13 @@
         && shared.dispatcher.as_ref().is_some_and(|dispatcher| dispatcher.is_relayed(id))
 }
 
+/// Returns whether a worker would reply to a poll at once, with completions that it has listed
+/// before.
+fn holds_acks(node: &Node, epoch: u64, id: &Name) -> bool {
+    let mut shared = node.shared.borrow_mut();
+    shared.lead_in(epoch).is_some_and(|lead| lead.holds_acks(id, now().mono))
+}
+
 /// Waits, for a limited time, until the completions listed by a worker are durable, since
 /// it would list them again otherwise.
 async fn wait_durable(node: &Rc<Node>, epoch: u64, id: &Name) {
