A failed run of a gang counts once, not once for each member

Cause: the failed runs of the members were added up. Members share the number of a run.

Change: the numbers of the members' failed runs are counted once each, for the attempts of the job and for the pause of a worker after three failed runs in a row.

Ruled out: counting one member's ends only (another member may fail in the next run).

--- a/crates/lead/src/completions.rs
+++ b/crates/lead/src/completions.rs
@@ -53,7 +53,9 @@
                 worker.paused_until = 0;
             }
             Outcome::Failed => {
-                worker.failures += 1;
+                // Members of a gang that fail together are one failed run.
+                let counted = std::mem::replace(&mut worker.failed_run, completion.run);
+                worker.failures += u32::from(counted != completion.run);
                 if worker.failures >= FAILURE_THRESHOLD {
                     let pause = (FAILURE_PAUSE * u64::from(worker.failures)).min(MAX_FAILURE_PAUSE);
                     worker.paused_until = now.mono + pause;
@@ -118,7 +120,7 @@
                     task.failed_runs.push(completion.run);
                 }
                 task.avoid = Some(worker.clone());
-                if self.failed_runs_of(id) >= attempts {
+                if self.failed_runs_of(id) >= attempts as usize {
                     if let Some(job) = self.jobs.get_mut(&id.job) {
                         job.failed = true;
                     }
--- a/crates/lead/src/doubt.rs
+++ b/crates/lead/src/doubt.rs
@@ -178,14 +178,6 @@
         self.with_gang(id).iter().any(|member| self.bound_worker(member).is_some())
     }
 
-    /// Returns a task, or all members of its gang.
-    fn with_gang(&self, id: &TaskId) -> Vec<TaskId> {
-        let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
-        let gang = step.filter(|step| step.gang).map(|step| step.count);
-        let indexes = gang.map_or(id.index..id.index + 1, |count| 0..count);
-        indexes.map(|index| TaskId { index, ..id.clone() }).collect()
-    }
-
     /// Returns the worker on which a task that has to stay on one may start now, if any.
     pub(crate) fn find_bound(&mut self, id: &TaskId, now: Now) -> Option<Name> {
         let bound = self.bound_worker(id)?.clone();
@@ -203,7 +195,8 @@
     /// Returns until when a completion may not be acknowledged: a start of its task, or of a member of
     /// its gang, could begin the task again.
     pub(crate) fn held_until(&self, completion: &Completion) -> Millis {
-        if !matches!(completion.outcome, Outcome::Done | Outcome::Failed) {
+        let repeatable = !matches!(completion.outcome, Outcome::Done | Outcome::Failed);
+        if repeatable || self.starts_in_doubt.by_task.is_empty() {
             return 0;
         }
         let id = &completion.task;
--- a/crates/lead/src/gang.rs
+++ b/crates/lead/src/gang.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use base::{Name, Now, Size, event};
 use job::{Step, TaskId};
@@ -97,16 +97,20 @@
         }
     }
 
-    /// Returns the number of failed runs of a task, or of all tasks of its gang.
-    pub(crate) fn failed_runs_of(&self, id: &TaskId) -> u32 {
+    /// Returns a task, or all members of its gang.
+    pub(crate) fn with_gang(&self, id: &TaskId) -> Vec<TaskId> {
+        let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
+        let gang = step.filter(|step| step.gang).map(|step| step.count);
+        let indexes = gang.map_or(id.index..id.index + 1, |count| 0..count);
+        indexes.map(|index| TaskId { index, ..id.clone() }).collect()
+    }
+
+    /// Returns the number of failed runs of a task, or of its gang, whose members share the number
+    /// of a run.
+    pub(crate) fn failed_runs_of(&self, id: &TaskId) -> usize {
         let Some(job) = self.jobs.get(&id.job) else { return 0 };
-        let gang = job.step(id).is_some_and(|step| step.gang);
-        let count = if gang { job.step(id).map_or(0, |step| step.count) } else { 0 };
-        let failed_runs =
-            |id: &TaskId| job.task(id).map_or(0, |task| task.failed_runs.len() as u32);
-        if count == 0 {
-            return failed_runs(id);
-        }
-        (0..count).map(|index| failed_runs(&TaskId { index, ..id.clone() })).sum()
+        let members = self.with_gang(id);
+        let tasks = members.iter().filter_map(|member| job.task(member));
+        tasks.flat_map(|task| &task.failed_runs).collect::<BTreeSet<&u64>>().len()
     }
 }
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -136,6 +136,8 @@
     pub(crate) probation_polled_at: Millis,
     /// Consecutive failed runs.
     pub failures: u32,
+    /// Number of the last failed run; 0 if none has.
+    pub(crate) failed_run: u64,
     /// When best-effort tasks on it were last moved or throttled.
     pub adjusted_at: Millis,
     /// Whether a service task on it misses its latency target.
@@ -204,6 +206,7 @@
             lost: Vec::new(),
             probation_polled_at: 0,
             failures: 0,
+            failed_run: 0,
             adjusted_at: 0,
             target_missed: false,
             headrooms: Vec::new(),
--- a/crates/lead/tests/decisions.rs
+++ b/crates/lead/tests/decisions.rs
@@ -7,7 +7,7 @@
 use fleet::{Fleet, NOW};
 use job::{Queue, Spec, State, Step};
 use lead::{Command, Submitted};
-use port::{Outcome, Refusal, WorkerError};
+use port::{Outcome, Refusal, Start, WorkerError};
 
 fn step(count: u32, cpu: u64) -> Step {
     let size = Size { cpu, memory: 100, accel: 0 };
@@ -210,6 +210,84 @@
     assert_eq!(fleet.lead.state("a"), Some(State::Failed));
 }
 
+/// Guards against a gang that is given up after one failed run, and against one that is started more
+/// often than is allowed: its members fail together and share the number of the run.
+#[test]
+fn a_failed_run_of_a_gang_counts_once() {
+    struct Case {
+        name: &'static str,
+        /// How each member of a run ends.
+        ends: [Outcome; 3],
+        /// Whether the ends are listed one by one.
+        apart: bool,
+        /// Whether another leader takes over after the first of them.
+        taken_over: bool,
+    }
+    let failed = Outcome::Failed;
+    let case = Case { name: "", ends: [failed; 3], apart: false, taken_over: false };
+    let cases = [
+        Case { name: "all fail", ..case },
+        Case { name: "all fail, listed one by one", apart: true, ..case },
+        Case { name: "all fail, two before a takeover", apart: true, taken_over: true, ..case },
+        Case {
+            name: "one fails, the others are broken",
+            ends: [failed, Outcome::Broken, Outcome::Broken],
+            ..case
+        },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::open(3);
+        fleet.accept("a", spec(Step { gang: true, ..step(3, 1_000) }));
+        let mut number = 0;
+        for run in 1..=2 {
+            let starts = fleet.start_waiting();
+            assert_eq!(starts.len(), 3, "{}: run {run}", case.name);
+            let last = starts.len() - 1;
+            for (at, ((id, start), outcome)) in starts.iter().zip(case.ends).enumerate() {
+                number += 1;
+                if !case.apart || at < last {
+                    fleet.list(id, &[], &[(number, start, outcome)]);
+                    continue;
+                }
+                fleet.store();
+                if case.taken_over {
+                    fleet.take_over();
+                    fleet.meet_all();
+                }
+                fleet.advance(10);
+                fleet.list(id, &[], &[(number, start, outcome)]);
+            }
+            fleet.store();
+            let state = fleet.lead.state("a");
+            let expected = if run == 1 { State::Active } else { State::Failed };
+            assert_eq!(state, Some(expected), "{}: after run {run}", case.name);
+            fleet.advance(10);
+        }
+        assert!(fleet.starts().is_empty(), "{}: two runs are allowed", case.name);
+    }
+}
+
+/// Guards against a sound worker that is paused for one failed run of a gang.
+#[test]
+fn a_failed_run_of_a_gang_counts_once_for_its_worker() {
+    for (count, paused) in [(1, false), (3, true)] {
+        let mut fleet = Fleet::open(1);
+        for n in 0..count {
+            let job = format!("{n:016x}");
+            fleet.accept_once(&job, spec(Step { gang: true, ..step(3, 100) }));
+        }
+        let starts = fleet.start_waiting();
+        assert_eq!(starts.len(), 3 * count);
+        let ends: Vec<(u64, &Start, Outcome)> = (1..)
+            .zip(&starts)
+            .map(|(number, (_, start))| (number, start, Outcome::Failed))
+            .collect();
+        fleet.list("w0", &[], &ends);
+        fleet.accept("b", spec(step(1, 100)));
+        assert_eq!(fleet.starts().is_empty(), paused, "{count} failed runs");
+    }
+}
+
 /// A worker that is leaving gets no start again, nor has it a further incarnation.
 #[test]
 fn an_unconfirmed_start_is_stopped_before_the_task_runs_elsewhere() {
