The next run of a gang is kept off the worker on which it failed

Callers could see: a job shown as failed, since its gang failed a second time on the same worker.

Cause: only the member that had failed was kept off its worker. Another member, whose run was broken, could be placed there in the next run.

Change: all members are kept off that worker where others have room. A member that failed elsewhere in the same run stays off its own.

Ruled out: a list of workers for each member (the penalty is for the last failure only, as for other tasks).

Evidence: lead/tests/decisions.rs no_member_of_a_gang_returns_to_the_worker_on_which_it_failed fails before.

--- a/crates/lead/src/completions.rs
+++ b/crates/lead/src/completions.rs
@@ -119,7 +119,7 @@
                 if !task.failed_runs.contains(&completion.run) {
                     task.failed_runs.push(completion.run);
                 }
-                task.avoid = Some(worker.clone());
+                self.avoid(id, worker, completion.run);
                 if self.failed_runs_of(id) >= attempts as usize {
                     if let Some(job) = self.jobs.get_mut(&id.job) {
                         job.failed = true;
--- a/crates/lead/src/gang.rs
+++ b/crates/lead/src/gang.rs
@@ -113,4 +113,16 @@
         let tasks = members.iter().filter_map(|member| job.task(member));
         tasks.flat_map(|task| &task.failed_runs).collect::<BTreeSet<&u64>>().len()
     }
+
+    /// Keeps the next run of a task, or of its gang, off a worker where possible. A member that failed
+    /// elsewhere in the same run stays off that worker.
+    pub(crate) fn avoid(&mut self, id: &TaskId, worker: &Name, run: u64) {
+        for member in self.with_gang(id) {
+            let job = self.jobs.get_mut(&id.job);
+            let Some(task) = job.and_then(|job| job.task_mut(&member)) else { continue };
+            if member == *id || !task.failed_runs.contains(&run) {
+                task.avoid = Some(worker.clone());
+            }
+        }
+    }
 }
--- a/crates/lead/tests/decisions.rs
+++ b/crates/lead/tests/decisions.rs
@@ -267,6 +267,26 @@
     }
 }
 
+/// Guards against a gang that fails again on the worker on which it failed before: a member that did not
+/// fail itself was started there.
+#[test]
+fn no_member_of_a_gang_returns_to_the_worker_on_which_it_failed() {
+    let mut fleet = Fleet::open(4);
+    fleet.accept("a", spec(Step { gang: true, per_worker: 1, ..step(3, 1_000) }));
+    let starts = fleet.start_waiting();
+    let bad = starts[0].0.clone();
+    fleet.list(&bad, &[], &[(1, &starts[0].1, Outcome::Failed)]);
+    for (number, (id, start)) in (2..).zip(&starts[1..]) {
+        fleet.list(id, &[], &[(number, start, Outcome::Broken)]);
+    }
+    fleet.store();
+    fleet.advance(10);
+    fleet.list_all();
+    let again = fleet.start_waiting();
+    assert_eq!(again.len(), 3);
+    assert!(again.iter().all(|(id, _)| *id != bad), "{bad} in {again:?}");
+}
+
 /// Guards against a sound worker that is paused for one failed run of a gang.
 #[test]
 fn a_failed_run_of_a_gang_counts_once_for_its_worker() {
