Starts in doubt are kept in one place

What a worker kept of starts without a reply (`unconfirmed_starts`: stops after a restart, last runs, the wait for leases, when a worker is forgotten) is derived from `lead::doubt` now, which kept the same for tasks and acknowledgements. Both counted 14 s, one from the timeout of the start and one from its sending; it is the sending now. Starts in the records of workers are taken up after the jobs, so that copies are known as such. A worker that another one has replaced is forgotten as soon as its leases have expired.

--- a/crates/lead/src/commands.rs
+++ b/crates/lead/src/commands.rs
@@ -120,7 +120,6 @@
                 }
                 // The next list tells first whether it was carried out.
                 run.retry_at = now.mono;
-                worker.unconfirmed_starts.push((id.clone(), run_id, now.mono));
                 event!("start_in_doubt", task = id, worker = name, run = run_id, why = why);
                 self.doubt(name, now);
             }
--- a/crates/lead/src/doubt.rs
+++ b/crates/lead/src/doubt.rs
@@ -20,15 +20,20 @@
 struct LateStart {
     worker: Name,
     run: u64,
-    /// When it is too old to arrive.
-    arrives_by: Millis,
+    sent_at: Millis,
+    /// Whether its task stays on the worker: copies of a task may run side by side.
+    binds: bool,
+}
+
+impl LateStart {
+    /// Returns when it is too old to arrive.
+    fn arrives_by(&self) -> Millis {
+        self.sent_at + MAX_COMMAND_DELAY
+    }
 }
 
 impl StartsInDoubt {
-    /// Adds a start that was sent at `sent`.
-    fn add(&mut self, worker: &Name, task: &TaskId, run: u64, sent: Millis) {
-        let arrives_by = sent + MAX_COMMAND_DELAY;
-        let start = LateStart { worker: worker.clone(), run, arrives_by };
+    fn add(&mut self, task: &TaskId, start: LateStart) {
         self.by_task.entry(task.clone()).or_default().push(start);
     }
 
@@ -49,7 +54,7 @@
         let mut workers = BTreeSet::new();
         self.by_task.retain(|_, starts| {
             starts.retain(|start| {
-                let late = now < start.arrives_by;
+                let late = now < start.arrives_by();
                 if !late {
                     workers.insert(start.worker.clone());
                 }
@@ -68,24 +73,46 @@
         });
     }
 
-    /// Returns the worker that the newest start of a task was sent to.
+    /// Returns the worker on which a task stays: that of its newest start.
     fn worker(&self, task: &TaskId) -> Option<&Name> {
-        self.by_task.get(task)?.last().map(|start| &start.worker)
+        let mut starts = self.by_task.get(task)?.iter().rev();
+        starts.find(|start| start.binds).map(|start| &start.worker)
     }
 
     /// Returns when all starts of a task are too old to arrive; 0 if there are none.
     fn end(&self, task: &TaskId) -> Millis {
-        let starts = self.by_task.get(task).into_iter().flatten();
-        starts.map(|start| start.arrives_by).max().unwrap_or(0)
+        let starts = self.by_task.get(task).into_iter().flatten().filter(|start| start.binds);
+        starts.map(LateStart::arrives_by).max().unwrap_or(0)
+    }
+
+    /// Returns the starts that were sent to a worker.
+    fn on(&self, worker: &Name) -> impl Iterator<Item = (&TaskId, &LateStart)> {
+        let starts =
+            self.by_task.iter().flat_map(|(task, starts)| starts.iter().map(move |s| (task, s)));
+        starts.filter(move |(_, start)| start.worker == *worker)
+    }
+
+    /// Returns whether starts that were sent to a worker may arrive.
+    pub(crate) fn any_on(&self, worker: &Name) -> bool {
+        self.on(worker).next().is_some()
+    }
+
+    /// Returns the runs that starts sent to a worker may begin.
+    pub(crate) fn runs_on(&self, worker: &Name) -> BTreeSet<(TaskId, u64)> {
+        self.on(worker).map(|(task, start)| (task.clone(), start.run)).collect()
+    }
+
+    /// Returns the highest run of a task that a start sent to a worker before `time` may begin.
+    pub(crate) fn run_before(&self, worker: &Name, task: &TaskId, time: Millis) -> Option<u64> {
+        let starts = self.by_task.get(task)?.iter();
+        let earlier = starts.filter(|start| start.worker == *worker && start.sent_at < time);
+        earlier.map(|start| start.run).max()
     }
 
     /// Returns the starts of a worker, for its record.
     pub(crate) fn of_worker(&self, worker: &Name) -> Vec<StartInDoubt> {
-        let starts = self.by_task.iter().flat_map(|(task, starts)| {
-            let own = starts.iter().filter(|start| start.worker == *worker);
-            own.map(|start| StartInDoubt { task: task.clone(), run: start.run })
-        });
-        starts.collect()
+        let starts = self.runs_on(worker).into_iter();
+        starts.map(|(task, run)| StartInDoubt { task, run }).collect()
     }
 }
 
@@ -94,13 +121,11 @@
     pub(crate) fn note_start_in_doubt(&mut self, worker: &Name, start: &Start, now: Now) {
         let (id, run_id) = (&start.task, start.run);
         let Some(job) = self.jobs.get(&id.job) else { return };
-        // Copies of a task may run side by side.
-        if job.step(id).is_none_or(|step| step.speculative) {
-            return;
-        }
+        let Some(step) = job.step(id) else { return };
+        let binds = !step.speculative;
         let run = self.workers.get(worker).and_then(|worker| worker.runs.get(id));
         let run = run.filter(|run| run.run_id == run_id);
-        let sent = match run {
+        let sent_at = match run {
             Some(run) if run.incarnation.is_some() && !run.resent => return,
             Some(run) => run.started_at,
             None => {
@@ -111,20 +136,19 @@
                 now.mono
             }
         };
-        self.starts_in_doubt.add(worker, id, run_id, sent);
+        let start = LateStart { worker: worker.clone(), run: run_id, sent_at, binds };
+        self.starts_in_doubt.add(id, start);
         self.record_starts_in_doubt(worker);
     }
 
     /// Handles a run that a worker has listed, as running or as ended. If it was sent one start for
     /// it, that one can't arrive any more.
     pub(crate) fn note_carried_out(&mut self, name: &Name, id: &TaskId, run_id: u64) {
-        let Some(worker) = self.workers.get_mut(name) else { return };
-        let run = worker.runs.get(id).filter(|run| run.run_id == run_id && !run.resent);
-        if run.is_none() || !self.starts_in_doubt.carried_out(name, id, run_id) {
-            return;
+        let run = self.workers.get(name).and_then(|worker| worker.runs.get(id));
+        let sent_once = run.is_some_and(|run| run.run_id == run_id && !run.resent);
+        if sent_once && self.starts_in_doubt.carried_out(name, id, run_id) {
+            self.record_starts_in_doubt(name);
         }
-        worker.unconfirmed_starts.retain(|(task, run, _)| (task, *run) != (id, run_id));
-        self.record_starts_in_doubt(name);
     }
 
     /// Handles a worker that another one has replaced at its address, which refuses what was meant for
@@ -158,13 +182,18 @@
         now: Now,
     ) {
         for StartInDoubt { task, run } in starts {
-            self.starts_in_doubt.add(worker, task, *run, now.mono);
-            if let Some(worker) = self.workers.get_mut(worker) {
-                worker.unconfirmed_starts.push((task.clone(), *run, now.mono));
-            }
+            let step = self.jobs.get(&task.job).and_then(|job| job.step(task));
+            let binds = step.is_none_or(|step| !step.speculative);
+            let (worker, sent_at) = (worker.clone(), now.mono);
+            self.starts_in_doubt.add(task, LateStart { worker, run: *run, sent_at, binds });
         }
     }
 
+    /// Returns the number of starts sent to a worker that have no reply and may still arrive.
+    pub fn starts_in_doubt(&self, worker: &Name) -> usize {
+        self.starts_in_doubt.on(worker).count()
+    }
+
     /// Returns the worker on which a task has to stay, since a start sent to it may still arrive. One
     /// that is leaving has no further incarnation.
     pub(crate) fn bound_worker(&self, id: &TaskId) -> Option<&Name> {
@@ -195,8 +224,8 @@
     /// Returns until when a completion may not be acknowledged: a start of its task, or of a member of
     /// its gang, could begin the task again.
     pub(crate) fn held_until(&self, completion: &Completion) -> Millis {
-        let repeatable = !matches!(completion.outcome, Outcome::Done | Outcome::Failed);
-        if repeatable || self.starts_in_doubt.by_task.is_empty() {
+        let counts = matches!(completion.outcome, Outcome::Done | Outcome::Failed);
+        if !counts || self.starts_in_doubt.by_task.is_empty() {
             return 0;
         }
         let id = &completion.task;
@@ -223,7 +252,10 @@
         });
         let takes = suits && worker.is_offered(now.mono) && !worker.over_size();
         if run.given_up || run.crash.is_some() || !wanted || !takes {
-            return self.give_up_start(name, id);
+            if let Some(run) = self.workers.get_mut(name).and_then(|w| w.runs.get_mut(id)) {
+                run.given_up = true;
+            }
+            return self.send_stop(name, id);
         }
         if !worker.usable(self.journal.stored, now.mono) {
             return;
@@ -238,16 +270,6 @@
     }
 }
 
-impl Lead {
-    /// Stops a run of which the start has no reply.
-    fn give_up_start(&mut self, name: &Name, id: &TaskId) {
-        if let Some(run) = self.workers.get_mut(name).and_then(|worker| worker.runs.get_mut(id)) {
-            run.given_up = true;
-        }
-        self.send_stop(name, id);
-    }
-}
-
 impl Run {
     /// Notes that the start command is sent again.
     fn send_again(&mut self, now: Millis) {
@@ -257,3 +279,12 @@
         self.started_at = now;
     }
 }
+
+impl Worker {
+    /// Returns the tasks without a run here that starts in doubt may still begin, with the highest run id
+    /// of each: its stop covers the lower ones.
+    pub(crate) fn late_starts(&self, starts: &StartsInDoubt) -> BTreeMap<TaskId, u64> {
+        let runs = starts.runs_on(&self.info.id).into_iter();
+        runs.filter(|(task, _)| !self.runs.contains_key(task)).collect()
+    }
+}
--- a/crates/lead/src/journal.rs
+++ b/crates/lead/src/journal.rs
@@ -237,7 +237,7 @@
                 incarnation: worker.info.incarnation,
                 long_leases: worker.long_leases,
                 starts_in_doubt: self.starts_in_doubt.of_worker(&id),
-                last_runs: worker.closed.then(|| worker.last_runs()),
+                last_runs: worker.closed.then(|| worker.last_runs(&self.starts_in_doubt)),
             };
             batch.records.push(record(WORKER, &id, &worker_record));
         }
--- a/crates/lead/src/poll.rs
+++ b/crates/lead/src/poll.rs
@@ -217,7 +217,7 @@
     ) {
         let max_lease = self.bounds.max_lease;
         let Some(worker) = self.workers.get_mut(&poll.worker) else { return };
-        worker.record_grant(poll.deadline, max_lease, now.mono);
+        worker.record_grant(poll.deadline, max_lease, &self.starts_in_doubt, now.mono);
         // A worker that replies gets a permission at once, if its relay has none.
         worker.renewed_by_relay = poll.renews || reply.is_ok();
         self.touched.insert(poll.worker.clone());
--- a/crates/lead/src/restart.rs
+++ b/crates/lead/src/restart.rs
@@ -1,5 +1,3 @@
-use std::collections::BTreeSet;
-
 use base::{Millis, Name, Now, event};
 use job::TaskId;
 use port::{WorkerAddr, WorkerInfo};
@@ -20,6 +18,7 @@
         let batch = self.journal.add_worker(id);
         let max_lease = self.bounds.max_lease;
         let inherited_end = self.inherited_leases_end(now);
+        let in_doubt = self.starts_in_doubt.runs_on(id);
         let Some(worker) = self.workers.get_mut(id) else { return };
         event!(
             "worker_restarted",
@@ -44,17 +43,12 @@
         worker.last_completion = 0;
         worker.acked = 0;
         worker.pending_acks.clear();
-        worker.hold_earlier_leases(max_lease, now.mono);
+        worker.hold_earlier_leases(max_lease, &self.starts_in_doubt, now.mono);
         worker.earlier_leases_end = worker.earlier_leases_end.max(inherited_end);
         worker.long_leases = true;
-        let unconfirmed: BTreeSet<(TaskId, u64)> = worker
-            .unconfirmed_starts
-            .iter()
-            .map(|(task, run_id, _)| (task.clone(), *run_id))
-            .collect();
         let mut gone = Vec::new();
         for (task, run) in &mut worker.runs {
-            let may_start = unconfirmed.contains(&(task.clone(), run.run_id));
+            let may_start = in_doubt.contains(&(task.clone(), run.run_id));
             match run.state {
                 RunState::Starting => run.retry_at = now.mono,
                 RunState::Unconfirmed => run.resend_stop(now.mono),
@@ -74,8 +68,7 @@
         if !worker.runs.is_empty() {
             self.commands.push(Command::Poll(id.clone()));
         }
-        let late_starts = worker.late_starts();
-        for (task, run_id) in late_starts {
+        for (task, run_id) in worker.late_starts(&self.starts_in_doubt) {
             self.add_late_start(id, task, run_id, now);
         }
     }
@@ -100,9 +93,8 @@
     /// of its task may still be carried out in the present incarnation.
     pub(crate) fn guard_late_start(&mut self, id: &Name, task: TaskId, now: Now) {
         let Some(worker) = self.workers.get(id) else { return };
-        let mut starts = worker.unconfirmed_starts.iter().rev();
-        let start = starts.find(|(other, _, at)| *other == task && *at < worker.restarted_at);
-        if let Some(run_id) = start.map(|(_, run_id, _)| *run_id) {
+        let run = self.starts_in_doubt.run_before(id, &task, worker.restarted_at);
+        if let Some(run_id) = run {
             self.add_late_start(id, task, run_id, now);
         }
     }
@@ -172,7 +164,7 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.synced = false;
         worker.listed_all = false;
-        worker.hold_earlier_leases(max_lease, now.mono);
+        worker.hold_earlier_leases(max_lease, &self.starts_in_doubt, now.mono);
         worker.earlier_leases_end = worker.earlier_leases_end.max(inherited_end);
         self.doubt(id, now);
     }
--- a/crates/lead/src/restore.rs
+++ b/crates/lead/src/restore.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use base::{Name, Now, event};
-use job::{Job, JobRecord, LastRun, PartId, PartProgress, Progress, Summary, WorkerRecord};
+use job::{Job, JobRecord, PartId, PartProgress, Progress, Summary, WorkerRecord};
 use port::{Item, WorkerInfo};
 
 use crate::{
@@ -18,7 +18,7 @@
         let mut summaries: BTreeMap<Name, Summary> = BTreeMap::new();
         let mut parts: BTreeMap<Name, Vec<(PartId, PartProgress)>> = BTreeMap::new();
         let mut models: BTreeMap<Name, ServiceModel> = BTreeMap::new();
-        let mut last_runs: Vec<(Name, Vec<LastRun>)> = Vec::new();
+        let mut workers: Vec<(Name, WorkerRecord)> = Vec::new();
         for item in items.iter().filter(|item| !item.value.is_empty()) {
             match parse_key(&item.key) {
                 RecordKey::Job(id) => decode_into(&mut records, id, item),
@@ -30,8 +30,8 @@
                     }
                 }
                 RecordKey::Worker(id) => {
-                    let runs = self.restore_worker(id, item, now);
-                    last_runs.extend(runs.map(|runs| (Name::from(id), runs)));
+                    let record = self.restore_worker(id, item);
+                    workers.extend(record.map(|record| (Name::from(id), record)));
                 }
                 RecordKey::ServiceModel(image) => decode_into(&mut models, image, item),
                 RecordKey::Model => self.restore_model(item),
@@ -60,8 +60,9 @@
             self.activate(&id, now);
         }
         self.restore_suspects();
-        for (id, runs) in last_runs {
-            self.restore_last_runs(&id, runs, now);
+        for (id, record) in workers {
+            self.restore_starts_in_doubt(&id, &record.starts_in_doubt, now);
+            self.restore_last_runs(&id, record.last_runs.unwrap_or_default(), now);
         }
         event!(
             "restored",
@@ -108,8 +109,8 @@
 
     /// Adds a worker that may have runs of an earlier leader. It gets no work until it has
     /// listed its runs; the remaining fields are set once its own record in the store is read.
-    /// Returns its last runs, if the record has them.
-    fn restore_worker(&mut self, id: &str, item: &Item, now: Now) -> Option<Vec<LastRun>> {
+    /// Returns the record.
+    fn restore_worker(&mut self, id: &str, item: &Item) -> Option<WorkerRecord> {
         let Ok(record) = postcard::from_bytes::<WorkerRecord>(&item.value) else {
             log::warn!("event=record_skipped key={} reason=malformed", item.key);
             return None;
@@ -133,8 +134,7 @@
             worker.earlier_leases_end = self.long_leases_end;
         }
         self.workers.insert(id.into(), worker);
-        self.restore_starts_in_doubt(&id.into(), &record.starts_in_doubt, now);
-        record.last_runs
+        Some(record)
     }
 }
 
--- a/crates/lead/src/retire.rs
+++ b/crates/lead/src/retire.rs
@@ -1,7 +1,7 @@
 use base::{Name, Now, event};
 use job::{LastRun, TaskId};
 
-use crate::{Lead, Run, RunState, Worker, journal::Journal};
+use crate::{Lead, Run, RunState, Worker, doubt::StartsInDoubt, journal::Journal};
 
 /// Most last runs in the record of a worker, which keeps it well below the limit of the store.
 const MAX_LAST_RUNS: usize = 1_000;
@@ -22,7 +22,7 @@
         if !worker.listed_all || worker.listed_since < commands_end {
             return;
         }
-        let runs = worker.last_runs().len();
+        let runs = worker.last_runs(&self.starts_in_doubt).len();
         if runs == 0 && (worker.closed || worker.info.draining && worker.record_batch.is_some()) {
             worker.record_batch = None;
             worker.closed = false;
@@ -94,7 +94,7 @@
     }
 
     /// Returns the runs that the worker may still have if it gets no more work.
-    pub(crate) fn last_runs(&self) -> Vec<LastRun> {
+    pub(crate) fn last_runs(&self, starts: &StartsInDoubt) -> Vec<LastRun> {
         let row = |(task, run): (&TaskId, &Run)| LastRun {
             task: task.clone(),
             run: run.run_id,
@@ -104,7 +104,7 @@
                 RunState::Starting | RunState::Unconfirmed => true,
             },
         };
-        let late = self.late_starts().into_iter();
+        let late = self.late_starts(starts).into_iter();
         let late = late.map(|(task, run)| LastRun { task, run, in_doubt: true });
         self.runs.iter().map(row).chain(late).collect()
     }
--- a/crates/lead/src/watch.rs
+++ b/crates/lead/src/watch.rs
@@ -1,7 +1,7 @@
 use base::{Millis, Name, Now, event};
 use job::TaskId;
 
-use crate::{Lead, RunState, worker::MAX_COMMAND_DELAY};
+use crate::{Lead, RunState};
 
 /// Remaining time of a draining worker below which all of its runs are stopped.
 const MIN_DRAIN_TIME: Millis = 900;
@@ -28,7 +28,6 @@
     /// Follows up on runs whose start or stop is unconfirmed.
     fn retry_commands(&mut self, id: &Name, now: Now) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.unconfirmed_starts.retain(|(_, _, at)| now.mono < at + MAX_COMMAND_DELAY);
         let due = worker.runs.iter().filter(|(_, run)| !run.in_flight && run.retry_at <= now.mono);
         let unconfirmed = due.filter(|(_, run)| match run.state {
             RunState::Unconfirmed => true,
@@ -102,9 +101,9 @@
         if worker.listed
             || worker.renewed_by_relay
             || !worker.runs.is_empty()
-            || !worker.unconfirmed_starts.is_empty()
             || !expired
             || !settled
+            || self.starts_in_doubt.any_on(id)
         {
             return;
         }
--- a/crates/lead/src/worker.rs
+++ b/crates/lead/src/worker.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     Run, RunState,
+    doubt::StartsInDoubt,
     interference::{Exposure, headroom},
 };
 
@@ -105,9 +106,6 @@
     /// When the leases that a lost relay may have granted have certainly expired; 0 if it can't
     /// have granted any.
     pub(crate) relay_leases_end: Millis,
-    /// Start commands without a reply, with run id and time. They may still reach a
-    /// later incarnation of the worker, which knows nothing of earlier stop commands.
-    pub unconfirmed_starts: Vec<(TaskId, u64, Millis)>,
     /// Low bits of its fencing token.
     pub(crate) raises: u64,
     /// Number of the last completion processed; completions are numbered in ascending order.
@@ -192,7 +190,6 @@
             restarted_at: 0,
             renewed_by_relay: false,
             relay_leases_end: 0,
-            unconfirmed_starts: Vec::new(),
             raises: 0,
             last_completion: 0,
             pending_acks: VecDeque::new(),
@@ -329,6 +326,7 @@
         &mut self,
         deadline: Option<Millis>,
         max_lease: Millis,
+        starts: &StartsInDoubt,
         now: Millis,
     ) {
         let Some(deadline) = deadline else { return };
@@ -336,16 +334,21 @@
         if latest.is_some_and(|latest| deadline <= latest) {
             self.lease_expiry = self.lease_expiry.max(deadline);
         } else {
-            self.hold_earlier_leases(max_lease, now);
+            self.hold_earlier_leases(max_lease, starts, now);
         }
     }
 
     /// Notes that commands issued before a restart was known may have granted, or may still
     /// grant, leases to the new incarnation. Their deadlines are on the clock of the earlier
     /// one, so that only the longest lease limits them.
-    pub(crate) fn hold_earlier_leases(&mut self, max_lease: Millis, now: Millis) {
+    pub(crate) fn hold_earlier_leases(
+        &mut self,
+        max_lease: Millis,
+        starts: &StartsInDoubt,
+        now: Millis,
+    ) {
         let in_doubt = |run: &Run| matches!(run.state, RunState::Starting | RunState::Unconfirmed);
-        let late = !self.unconfirmed_starts.is_empty() || self.runs.values().any(in_doubt);
+        let late = starts.any_on(&self.info.id) || self.runs.values().any(in_doubt);
         let delay = if late { MAX_COMMAND_DELAY } else { MAX_REPLY_TIME };
         self.earlier_leases_end = self.earlier_leases_end.max(now + delay + expiry(max_lease));
     }
@@ -385,14 +388,6 @@
         restarted
     }
 
-    /// Returns the tasks that unconfirmed start commands may still begin on a worker that has
-    /// just restarted, with the highest run id of each: its stop covers the lower ones.
-    pub(crate) fn late_starts(&self) -> BTreeMap<TaskId, u64> {
-        let starts = self.unconfirmed_starts.iter();
-        let starts = starts.filter(|(task, ..)| !self.runs.contains_key(task));
-        starts.map(|(task, run_id, _)| (task.clone(), *run_id)).collect()
-    }
-
     /// Returns whether a run was started before the last restart and has neither been listed nor
     /// stopped since.
     pub(crate) fn kept_over_restart(&self, run: &Run) -> bool {
