Tasks with a start in doubt wait no longer than that start may be late

Cause: three ways in which the bond of a task to its worker lasted too long. Each successor counted a start in doubt from its own claim. A task that may have crashed its worker was not isolated there, though the worker was back. A long-running task stayed on a silent worker beyond its leases.

Change: the worker's record has the time of day at which the start was sent, and 2.5 s are allowed for the difference between VMs. Suspects are isolated on the worker that they have to stay on.

Evidence: in lead/tests/doubt.rs a_start_in_doubt_ages_over_takeovers, a_suspect_starts_on_its_worker_while_... and a_long_running_task_of_a_lost_worker_...

--- a/crates/job/src/record.rs
+++ b/crates/job/src/record.rs
@@ -140,6 +140,8 @@
     pub task: TaskId,
     /// Number of the run.
     pub run: u64,
+    /// When it was sent, in Unix milliseconds.
+    pub sent_at: Millis,
 }
 
 /// A run that a worker may still have when it gets no more work.
--- a/crates/lead/src/doubt.rs
+++ b/crates/lead/src/doubt.rs
@@ -6,6 +6,9 @@
 
 use crate::{Lead, Run, RunState, Worker, worker::MAX_COMMAND_DELAY};
 
+/// Amount by which the time of day of two entry VMs is assumed to differ at most.
+const MAX_CLOCK_DIFFERENCE: Millis = 2_500;
+
 /// Start commands without a reply, by task. Each may be carried out once, until it is too old to
 /// arrive: by the incarnation of the worker that it was sent to, unless that has seen a higher token, or
 /// by a later one before its first request with a higher token. So the task may not run on another
@@ -21,6 +24,8 @@
     worker: Name,
     run: u64,
     sent_at: Millis,
+    /// The same in Unix milliseconds, for the next leader.
+    sent_unix: Millis,
     /// Whether its task stays on the worker: copies of a task may run side by side.
     binds: bool,
 }
@@ -111,8 +116,12 @@
 
     /// Returns the starts of a worker, for its record.
     pub(crate) fn of_worker(&self, worker: &Name) -> Vec<StartInDoubt> {
-        let starts = self.runs_on(worker).into_iter();
-        starts.map(|(task, run)| StartInDoubt { task, run }).collect()
+        let record = |(task, start): (&TaskId, &LateStart)| StartInDoubt {
+            task: task.clone(),
+            run: start.run,
+            sent_at: start.sent_unix,
+        };
+        self.on(worker).map(record).collect()
     }
 }
 
@@ -136,7 +145,8 @@
                 now.mono
             }
         };
-        let start = LateStart { worker: worker.clone(), run: run_id, sent_at, binds };
+        let sent_unix = now.unix.saturating_sub(now.mono.saturating_sub(sent_at));
+        let start = LateStart { worker: worker.clone(), run: run_id, sent_at, sent_unix, binds };
         self.starts_in_doubt.add(id, start);
         self.record_starts_in_doubt(worker);
     }
@@ -173,19 +183,25 @@
         }
     }
 
-    /// Takes up the starts that were in doubt under an earlier leader. When they were sent is not
-    /// known.
+    /// Takes up the starts that were in doubt under an earlier leader, whose time of day may differ.
     pub(crate) fn restore_starts_in_doubt(
         &mut self,
         worker: &Name,
         starts: &[StartInDoubt],
         now: Now,
     ) {
-        for StartInDoubt { task, run } in starts {
+        for StartInDoubt { task, run, sent_at } in starts {
             let step = self.jobs.get(&task.job).and_then(|job| job.step(task));
             let binds = step.is_none_or(|step| !step.speculative);
-            let (worker, sent_at) = (worker.clone(), now.mono);
-            self.starts_in_doubt.add(task, LateStart { worker, run: *run, sent_at, binds });
+            let age = now.unix.saturating_sub(*sent_at).saturating_sub(MAX_CLOCK_DIFFERENCE);
+            let start = LateStart {
+                worker: worker.clone(),
+                run: *run,
+                sent_at: now.mono.saturating_sub(age),
+                sent_unix: *sent_at,
+                binds,
+            };
+            self.starts_in_doubt.add(task, start);
         }
     }
 
@@ -202,9 +218,18 @@
         (!self.workers.get(name).is_some_and(leaving)).then_some(name)
     }
 
-    /// Whether a task, or a member of its gang, has to stay on a worker.
-    pub(crate) fn is_bound(&self, id: &TaskId) -> bool {
-        self.with_gang(id).iter().any(|member| self.bound_worker(member).is_some())
+    /// Releases the long-running tasks of a worker whose leases have expired: they may not be down for
+    /// as long as a start may be late.
+    pub(crate) fn release_long_running(&mut self, name: &Name) {
+        let jobs = &self.jobs;
+        let long_running = |task: &TaskId| {
+            jobs.get(&task.job).and_then(|job| job.step(task)).is_some_and(|step| step.long_running)
+        };
+        for (_, starts) in self.starts_in_doubt.by_task.iter_mut().filter(|(t, _)| long_running(t))
+        {
+            let here = starts.iter_mut().filter(|start| start.worker == *name);
+            here.for_each(|start| start.binds = false);
+        }
     }
 
     /// Returns the worker on which a task that has to stay on one may start now, if any.
--- a/crates/lead/src/isolation.rs
+++ b/crates/lead/src/isolation.rs
@@ -98,7 +98,9 @@
     /// Whether a worker may be isolated for a suspect, disregarding its room.
     fn is_eligible(&self, id: &TaskId, req: &Requirements<'_>, worker: &Worker, now: Now) -> bool {
         let name = &worker.info.id;
-        req.matches(worker)
+        let elsewhere = self.bound_worker(id).is_some_and(|bound| bound != name);
+        !elsewhere
+            && req.matches(worker)
             && req.under_limit(worker)
             && (!req.needs_ticket || self.ticket(id, name, now).is_some())
             && !self.reserved(name, id, now)
@@ -213,9 +215,6 @@
             let Some(job) = self.jobs.get(&id.job) else { return false };
             let Some(task) = job.task(id) else { return false };
             let copied = job.step(id).is_some_and(|step| step.speculative);
-            if self.is_bound(id) {
-                return false;
-            }
             task.queued || (copied && task.crashes.is_empty() && task.workers.len() == 1)
         };
         let mut waiting: Vec<TaskId> = self.suspects.iter().filter(waits).cloned().collect();
--- a/crates/lead/src/watch.rs
+++ b/crates/lead/src/watch.rs
@@ -68,6 +68,7 @@
         self.touched.insert(id.clone());
         let runs: Vec<TaskId> = worker.runs.keys().cloned().collect();
         self.note_lost(id);
+        self.release_long_running(id);
         for task in runs {
             self.drop_run(id, &task, "lease_expired", now);
         }
--- a/crates/lead/tests/doubt.rs
+++ b/crates/lead/tests/doubt.rs
@@ -220,6 +220,66 @@
     }
 }
 
+/// Guards against long-running tasks that are down for as long as a command may be late.
+#[test]
+fn a_long_running_task_of_a_lost_worker_does_not_wait_for_a_late_start() {
+    let (mut fleet, sent) = fleet_with_doubt(Step { long_running: true, ..step() });
+    let sent_at = fleet.now() - 700;
+    let starts = starts_within(&mut fleet, 8_000, Some(&sent.0));
+    assert_eq!(starts.len(), 1, "{starts:?}");
+    assert!(fleet.now() < sent_at + 10_000);
+}
+
+/// Guards against a task that waits anew under each leader, since each one counted a start in doubt
+/// from its own claim.
+#[test]
+fn a_start_in_doubt_ages_over_takeovers() {
+    let (mut fleet, sent) = fleet_with_doubt(step());
+    let sent_at = fleet.now() - 700;
+    fleet.store();
+    for _ in 0..3 {
+        fleet.advance(4_000);
+        fleet.take_over();
+        for id in ["w0", "w1"] {
+            fleet.lead.on_worker_info(info(id), fleet.time());
+        }
+        fleet.list(other(&sent), &[], &[]);
+        fleet.store();
+    }
+    assert!(fleet.starts().is_empty(), "12.7 s after it was sent");
+    starts_within(&mut fleet, 8_000, Some(&sent.0));
+    let run = fleet.lead.workers[other(&sent)].runs.values().next().expect("it runs elsewhere");
+    assert!(run.started_at < sent_at + 20_000, "started {} ms after", run.started_at - sent_at);
+}
+
+/// Guards against a suspect that waits for the time in which a start may be late, although its worker is
+/// back.
+#[test]
+fn a_suspect_starts_on_its_worker_while_a_start_in_doubt_may_arrive() {
+    let (mut fleet, sent) = fleet_with_doubt(step());
+    fleet.advance(300);
+    fleet.restart(&sent.0, 2);
+    fleet.advance(10);
+    fleet.list_since(&sent.0, fleet.now(), 2, &[]);
+    fleet.store();
+    let mut starts = Vec::new();
+    for _ in 0..40 {
+        for command in fleet.commands() {
+            match command {
+                Command::Start(worker, start) => starts.push((worker.id, start.run)),
+                Command::Stop(worker, stop) => fleet.confirm_stop(&worker.id, &stop),
+                _ => {}
+            }
+        }
+        fleet.advance(50);
+        fleet.list_since(&sent.0, fleet.now(), 2, &[]);
+        fleet.list(other(&sent), &[], &[]);
+        fleet.store();
+    }
+    assert!(starts.iter().any(|(id, run)| *id == sent.0 && *run > sent.1.run), "{starts:?}");
+    assert!(starts.iter().all(|(id, _)| *id == sent.0), "{starts:?}");
+}
+
 /// Guards against a task that waits for a worker of which no incarnation can come: another worker has its
 /// address and refuses what was meant for it.
 #[test]
